Add the thin path: balancers, agents, caller library and stand-ins

A request is answered whole over two balancers, a planned stop of a balancer breaks no flow, and a planned stop of an agent moves its flows.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+
+.PHONY: demo test lint format lock
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q -r requirements.lock
+	$(BIN)/python -m pip install -q --no-deps -e .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m sapphirelift.demo
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/.installed
+	$(BIN)/python -m ruff format --check .
+	$(BIN)/python -m ruff check .
+	$(BIN)/python -m mypy sapphirelift/core
+
+format: $(VENV)/.installed
+	$(BIN)/python -m ruff format .
+	$(BIN)/python -m ruff check --fix .
+
+lock: $(VENV)/.installed
+	$(BIN)/python -m pip freeze --exclude-editable --exclude sapphirelift > requirements.lock
--- /dev/null
+++ b/sapphirelift/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Edge to the backend server."""
--- /dev/null
+++ b/sapphirelift/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/sapphirelift/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Edge to callers."""
--- /dev/null
+++ b/sapphirelift/callers/client.py
@@ -0,0 +1,171 @@
+"""Caller library: sessions and requests over datagrams, for green threads."""
+
+import random
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import eventlet
+import eventlet.event
+import eventlet.queue
+
+from sapphirelift import clock
+from sapphirelift import messages
+from sapphirelift.core import caller
+from sapphirelift.core import outcomes
+from sapphirelift.core import retries
+from sapphirelift.peers import endpoint
+
+TICK_S = 0.02
+
+
+class Caller:
+    """One caller behind a fabric that sprays its packets over balancers.
+
+    Attributes:
+        broken_flows: Number of flows lost without a move.
+        moved_flows: Number of flows moved to another owner.
+    """
+
+    def __init__(
+        self,
+        balancers: Sequence[messages.Address],
+        *,
+        seed: int = 0,
+        ip: str = "127.0.0.1",
+        budget: retries.RetryBudget | None = None,
+    ) -> None:
+        self.balancers = list(balancers)
+        self._rng = random.Random(seed)
+        self.core = caller.CallerCore(rng=self._rng, budget=budget)
+        self._endpoint = endpoint.Endpoint(
+            messages.Address(ip, 0), self._on_datagram
+        )
+        self._endpoint.start()
+        self._ticker = eventlet.spawn(self._tick)
+        self._waiting: dict[int, eventlet.event.Event] = {}
+        self._opening: dict[int, eventlet.event.Event] = {}
+        self.owners: dict[int, str] = {}
+        self.broken_flows = 0
+        self.moved_flows = 0
+        self.on_notice: Callable[[caller.Notice], None] | None = None
+
+    def open(self, service: str, *, timeout_s: float = 10.0) -> "Session":
+        """Opens a session.
+
+        Raises:
+            eventlet.Timeout: No agent accepted the flow in time.
+        """
+        opened: eventlet.event.Event = eventlet.event.Event()
+        session_id, out = self.core.open_session(service, now_ms=clock.now_ms())
+        self._opening[session_id] = opened
+        self._carry_out(out)
+        with eventlet.Timeout(timeout_s):
+            opened.wait()
+        return Session(self, session_id)
+
+    def request(
+        self,
+        session_id: int,
+        method: str,
+        path: str,
+        *,
+        body: bytes,
+        idempotent: bool,
+        deadline_ms: int,
+    ) -> outcomes.Outcome:
+        """Runs a request on a session and waits for its outcome."""
+        request_id, out = self.core.start_request(
+            session_id,
+            method=method,
+            path=path,
+            body=body,
+            idempotent=idempotent,
+            deadline_ms=deadline_ms,
+            now_ms=clock.now_ms(),
+        )
+        done: eventlet.event.Event = eventlet.event.Event()
+        self._waiting[request_id] = done
+        self._carry_out(out)
+        return done.wait()
+
+    def close_session(self, session_id: int) -> None:
+        """Closes a session."""
+        self._carry_out(
+            self.core.close_session(session_id, now_ms=clock.now_ms())
+        )
+
+    def close(self) -> None:
+        """Stops the caller's tasks."""
+        self._ticker.kill()
+        self._endpoint.stop()
+
+    def _on_datagram(self, data: bytes, address: tuple[str, int]) -> None:
+        del address
+        self._carry_out(self.core.receive(data, now_ms=clock.now_ms()))
+
+    def _tick(self) -> None:
+        while True:
+            eventlet.sleep(TICK_S)
+            self._carry_out(self.core.tick(clock.now_ms()))
+
+    def _carry_out(self, outputs: list[caller.Output]) -> None:
+        for output in outputs:
+            match output:
+                case caller.SendDatagram(data):
+                    balancer = self._rng.choice(self.balancers)
+                    self._endpoint.send(data, balancer)
+                case _:
+                    self._on_notice(output)
+
+    def _on_notice(self, notice: caller.Notice) -> None:
+        match notice:
+            case caller.RequestDone(request_id, outcome):
+                done = self._waiting.pop(request_id, None)
+                if done is not None:
+                    done.send(outcome)
+            case caller.FlowOpened(session_id, owner, moved):
+                self.owners[session_id] = owner
+                self.moved_flows += moved
+                opened = self._opening.pop(session_id, None)
+                if opened is not None:
+                    opened.send(owner)
+            case caller.FlowBroken():
+                self.broken_flows += 1
+        if self.on_notice is not None:
+            self.on_notice(notice)
+
+
+class Session:
+    """A session of a caller with one service."""
+
+    def __init__(self, owner: Caller, session_id: int) -> None:
+        self._caller = owner
+        self.session_id = session_id
+
+    @property
+    def agent(self) -> str:
+        """Name of the agent that owns the session's flow."""
+        return self._caller.owners[self.session_id]
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        idempotent: bool = True,
+        deadline_ms: int = 5000,
+    ) -> outcomes.Outcome:
+        """Runs a request and waits for its outcome."""
+        return self._caller.request(
+            self.session_id,
+            method,
+            path,
+            body=body,
+            idempotent=idempotent,
+            deadline_ms=deadline_ms,
+        )
+
+    def close(self) -> None:
+        """Closes the session."""
+        self._caller.close_session(self.session_id)
--- /dev/null
+++ b/sapphirelift/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision core: state machines without sockets, clock or random source."""
--- /dev/null
+++ b/sapphirelift/core/balancer.py
@@ -0,0 +1,131 @@
+"""Decisions of a balancer. It keeps no state per flow."""
+
+import collections
+from typing import NamedTuple
+
+from sapphirelift import errors
+from sapphirelift import messages
+from sapphirelift import wire
+from sapphirelift.core import actions
+from sapphirelift.core import keys
+from sapphirelift.core import membership
+from sapphirelift.core import routing
+from sapphirelift.core import token
+
+_Kind = messages.Kind
+CANDIDATES = 3
+
+
+class _Candidate(NamedTuple):
+    """An agent as a target of rendezvous hashing."""
+
+    name: str
+    weight: float
+    address: messages.Address
+
+
+class BalancerCore:
+    """Routing of caller datagrams to agents and back."""
+
+    def __init__(
+        self,
+        *,
+        address: messages.Address,
+        members: membership.Membership,
+        ring: keys.KeyRing,
+    ) -> None:
+        self.address = address
+        self.members = members
+        self.ring = ring
+        self.withdrawn: set[str] = set()
+        self.withdrawn_ids: set[int] = set()
+        self.counters: collections.Counter[str] = collections.Counter()
+
+    def set_withdrawn(self, data_centres: set[str]) -> None:
+        """Sets the data centres that operators have taken out."""
+        self.withdrawn = data_centres
+        self.withdrawn_ids = {keys.data_centre_id(n) for n in data_centres}
+
+    def on_caller_datagram(
+        self, data: bytes, caller: tuple[str, int]
+    ) -> actions.SendPeer | actions.SendCaller | None:
+        """Routes one datagram of a caller.
+
+        Returns:
+            What to send, or None if the datagram was dropped and counted.
+        """
+        try:
+            header = wire.read_caller_header(data)
+            if header.kind == _Kind.OPEN:
+                return self._route_open(data, caller)
+            return self._route_flow(header, data, caller)
+        except errors.DatagramError as error:
+            self.counters[f"dropped_{error.reason}"] += 1
+            return None
+
+    def _route_flow(
+        self,
+        header: wire.CallerHeader,
+        data: bytes,
+        caller: tuple[str, int],
+    ) -> actions.SendPeer | actions.SendCaller:
+        opened = token.unseal(header.token, header.flow_key, self.ring)
+        if opened.data_centre_id in self.withdrawn_ids:
+            self.counters["resets_data_centre_withdrawn"] += 1
+            reset = messages.Reset("data_centre_withdrawn")
+            answer = wire.encode_caller(
+                _Kind.RESET, header.flow_key, reset, flow_token=header.token
+            )
+            return actions.SendCaller(messages.Address(*caller), answer)
+        self.counters["forwarded"] += 1
+        body = wire.encode_forward(caller, data)
+        return actions.SendPeer(
+            messages.Address(opened.owner_ip, opened.owner_port),
+            wire.encode_peer(_Kind.FORWARD, body, self.ring),
+        )
+
+    def _route_open(
+        self, data: bytes, caller: tuple[str, int]
+    ) -> actions.SendPeer | actions.SendCaller:
+        datagram = wire.decode_caller(data)
+        chosen = routing.candidates(
+            datagram.flow_key,
+            self._targets(datagram.body.service),
+            count=CANDIDATES,
+            rotate=datagram.body.attempt,
+        )
+        if not chosen:
+            self.counters["opens_refused"] += 1
+            refuse = messages.Refuse("no_backend_server", retry_after_ms=500)
+            answer = wire.encode_caller(_Kind.REFUSE, datagram.flow_key, refuse)
+            return actions.SendCaller(messages.Address(*caller), answer)
+        forward = messages.OpenForward(
+            caller=messages.Address(*caller),
+            balancer=self.address,
+            hops=0,
+            candidates=[candidate.address for candidate in chosen[1:]],
+            datagram=data,
+        )
+        self.counters["opens_forwarded"] += 1
+        body = wire.encode_body(forward)
+        return actions.SendPeer(
+            chosen[0].address,
+            wire.encode_peer(_Kind.OPEN_FORWARD, body, self.ring),
+        )
+
+    def _targets(self, service: str) -> list[_Candidate]:
+        return [
+            _Candidate(m.name, m.weight, m.address)
+            for m in self.members.with_role("agent")
+            if m.service == service and m.data_centre not in self.withdrawn
+        ]
+
+    def on_relay(self, body: bytes) -> actions.SendCaller | None:
+        """Passes an agent's datagram on to its caller."""
+        try:
+            caller, data = wire.decode_forward(body)
+        except errors.DatagramError as error:
+            self.counters[f"dropped_{error.reason}"] += 1
+            return None
+        self.counters["relayed"] += 1
+        return actions.SendCaller(caller, data)
--- /dev/null
+++ b/sapphirelift/core/flows.py
@@ -0,0 +1,57 @@
+"""Flows that an agent owns."""
+
+import dataclasses
+
+from sapphirelift import messages
+from sapphirelift.core import outcomes
+from sapphirelift.core import transfer
+
+
+@dataclasses.dataclass(slots=True)
+class RequestState:
+    """One request of a flow, from its first fragment to its eviction.
+
+    Attributes:
+        receiver: Collects the request; None once it is complete.
+        outcome: The result, None while the request is not finished.
+        sender: Sends the response; None while there is none.
+    """
+
+    request_id: int
+    flow_key: bytes
+    method: str
+    path: str
+    idempotent: bool
+    deadline_at_ms: int
+    receiver: transfer.FragmentReceiver | None
+    body: bytes = b""
+    run_id: int | None = None
+    started_ms: int | None = None
+    outcome: outcomes.Outcome | None = None
+    sender: transfer.FragmentSender | None = None
+    finished_ms: int | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Flow:
+    """An accepted flow.
+
+    Attributes:
+        token: The sealed token; packets must carry exactly this one.
+        balancer: Peer address of the balancer that sent the last packet.
+        forgotten_id: Highest request id whose state has been evicted.
+    """
+
+    flow_key: bytes
+    token: bytes
+    caller: messages.Address
+    balancer: messages.Address
+    heard_ms: int
+    requests: dict[int, RequestState] = dataclasses.field(default_factory=dict)
+    forgotten_id: int = -1
+    move_sent_ms: int | None = None
+
+    @property
+    def caller_name(self) -> str:
+        """Identity of the caller for fair queueing."""
+        return f"{self.caller.ip}:{self.caller.port}"
--- /dev/null
+++ b/sapphirelift/core/keys.py
@@ -0,0 +1,44 @@
+"""Keyed hashes that authenticate tokens and datagrams."""
+
+import hashlib
+import hmac
+from typing import NamedTuple
+
+import xxhash
+
+
+class KeyRing(NamedTuple):
+    """Keys by id; ``current_id`` signs, every listed key verifies."""
+
+    current_id: int
+    keys: dict[int, bytes]
+
+    def sign(self, data: bytes, *, size_bytes: int) -> bytes:
+        """Returns the keyed BLAKE2b hash of ``data`` under the current key."""
+        return keyed_hash(self.keys[self.current_id], data, size_bytes)
+
+    def verify(self, key_id: int, data: bytes, mac: bytes) -> bool:
+        """Tells whether ``mac`` is the hash of ``data`` under ``key_id``."""
+        key = self.keys.get(key_id)
+        if key is None:
+            return False
+        return hmac.compare_digest(keyed_hash(key, data, len(mac)), mac)
+
+
+def keyed_hash(key: bytes, data: bytes, size_bytes: int) -> bytes:
+    """Returns a keyed BLAKE2b hash.
+
+    >>> len(keyed_hash(b"k" * 16, b"data", 8))
+    8
+    """
+    return hashlib.blake2b(data, key=key, digest_size=size_bytes).digest()
+
+
+def service_id(name: str) -> int:
+    """Returns the 64-bit id of a service name."""
+    return xxhash.xxh64_intdigest(name.encode())
+
+
+def data_centre_id(name: str) -> int:
+    """Returns the 32-bit id of a data centre name."""
+    return xxhash.xxh32_intdigest(name.encode())
--- /dev/null
+++ b/sapphirelift/messages.py
@@ -0,0 +1,215 @@
+"""Bodies of all datagrams, as named tuples.
+
+Bodies travel as msgpack arrays in field order. Times are remaining or
+elapsed milliseconds, never wall clock readings, so no clocks are compared.
+"""
+
+import enum
+from typing import NamedTuple
+
+
+class Kind(enum.IntEnum):
+    """Datagram kinds."""
+
+    OPEN = 1
+    ACCEPT = 2
+    REFUSE = 3
+    REQUEST = 4
+    REQUEST_ACK = 5
+    CANCEL = 6
+    RESPONSE = 7
+    RESPONSE_ACK = 8
+    PING = 9
+    PONG = 10
+    CLOSE = 11
+    RESET = 12
+    MOVE = 13
+    FORWARD = 32
+    OPEN_FORWARD = 33
+    RELAY = 34
+    HEARTBEAT = 35
+    HEARTBEAT_ACK = 36
+    LOAD = 37
+    RUN = 38
+    RUN_ACK = 39
+    RUN_RESULT = 40
+    RUN_RESULT_ACK = 41
+    PLAIN = 42
+    PLAIN_RETURN = 43
+    PLAIN_OWNED = 44
+
+
+class Address(NamedTuple):
+    """An IPv4 address and port."""
+
+    ip: str
+    port: int
+
+
+class Open(NamedTuple):
+    """Asks for a flow to a service."""
+
+    service: str
+    attempt: int
+
+
+class Accept(NamedTuple):
+    """Grants a flow; the header carries its token."""
+
+    owner: str
+    max_requests: int
+
+
+class Refuse(NamedTuple):
+    """Refuses a flow."""
+
+    reason: str
+    retry_after_ms: int
+
+
+class Request(NamedTuple):
+    """One fragment of a request.
+
+    The head is repeated in each fragment, so that they can arrive in any
+    order.
+    """
+
+    request_id: int
+    fragment_index: int
+    fragment_count: int
+    body_hash: int
+    deadline_ms: int
+    idempotent: bool
+    method: str
+    path: str
+    payload: bytes
+
+
+class FragmentAck(NamedTuple):
+    """Fragments of a message received so far, one bit each.
+
+    Bit ``i % 8`` of byte ``i // 8`` stands for fragment ``i``.
+    """
+
+    request_id: int
+    bitmap: bytes
+
+
+class Cancel(NamedTuple):
+    """Cancels a request."""
+
+    request_id: int
+
+
+class OutcomeCode(enum.IntEnum):
+    """Outcome of a request on the wire."""
+
+    ANSWERED = 0
+    NOT_RUN = 1
+    UNKNOWN = 2
+
+
+class Response(NamedTuple):
+    """One fragment of a response."""
+
+    request_id: int
+    fragment_index: int
+    fragment_count: int
+    body_hash: int
+    outcome: int
+    status: int
+    reason: str
+    payload: bytes
+
+
+class Ping(NamedTuple):
+    """Keeps a flow alive and probes the path."""
+
+    sequence: int
+
+
+class Pong(NamedTuple):
+    """Answers a ping."""
+
+    sequence: int
+
+
+class Close(NamedTuple):
+    """Ends a flow."""
+
+    reason: str
+
+
+class Reset(NamedTuple):
+    """Tells the caller that the flow does not exist any more."""
+
+    reason: str
+
+
+class Move(NamedTuple):
+    """Asks the caller to open a flow elsewhere and close this one."""
+
+    reason: str
+    within_ms: int
+
+
+class OpenForward(NamedTuple):
+    """An OPEN on its way along its candidates."""
+
+    caller: Address
+    balancer: Address
+    hops: int
+    candidates: list[Address]
+    datagram: bytes
+
+
+class Heartbeat(NamedTuple):
+    """Liveness, state and load of a member.
+
+    ``revision`` is the record revision that the sender has in force.
+    ``load`` is the busy share of the sender's admission limit, 0 to 1.
+    """
+
+    name: str
+    role: str
+    ip: str
+    port: int
+    incarnation: int
+    sequence: int
+    state: str
+    data_centre: str
+    service: str
+    load: float
+    revision: int
+
+
+class HeartbeatAck(NamedTuple):
+    """Answer of a watcher to a heartbeat."""
+
+    name: str
+    incarnation: int
+    sequence: int
+    state: str
+    revision: int
+
+
+class Load(NamedTuple):
+    """Load report between agents of one service.
+
+    ``busy`` is the number of running requests, ``limit`` the current
+    admission limit, ``queued`` the number of waiting requests and
+    ``utilisation`` the smoothed busy share of all slots.
+    """
+
+    name: str
+    service: str
+    ip: str
+    port: int
+    incarnation: int
+    sequence: int
+    state: str
+    busy: int
+    limit: float
+    queued: int
+    utilisation: float
+    flows: int
--- /dev/null
+++ b/sapphirelift/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Edge to operators: command line and admin port."""
--- /dev/null
+++ b/sapphirelift/operators/admin.py
@@ -0,0 +1,61 @@
+"""HTTP admin port: health, readiness, state dump and metrics."""
+
+import json
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+from typing import Protocol
+
+import eventlet
+import eventlet.wsgi
+
+from sapphirelift import messages
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class Inspectable(Protocol):
+    """What the admin port shows of a process."""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the process wants new work."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state of the process, without secrets."""
+
+
+class AdminServer:
+    """Serves the state of one process."""
+
+    def __init__(self, address: messages.Address, node: Inspectable) -> None:
+        self._listener = eventlet.listen(address)
+        self._node = node
+
+    def start(self) -> None:
+        """Starts to serve."""
+        eventlet.spawn(
+            eventlet.wsgi.server,
+            self._listener,
+            self._answer,
+            log_output=False,
+        )
+
+    def _answer(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        status, body = self._route(environ["PATH_INFO"])
+        start_response(status, [("Content-Type", "application/json")])
+        return [json.dumps(body).encode()]
+
+    def _route(self, path: str) -> tuple[str, Any]:
+        match path:
+            case "/healthz":
+                return "200 OK", {"ok": True}
+            case "/readyz" if self._node.is_ready:
+                return "200 OK", {"ready": True}
+            case "/readyz":
+                return "503 Service Unavailable", {"ready": False}
+            case "/dump":
+                return "200 OK", self._node.dump()
+        return "404 Not Found", {"error": "unknown path"}
--- /dev/null
+++ b/sapphirelift/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Edge between the system's own processes."""
--- /dev/null
+++ b/sapphirelift/peers/endpoint.py
@@ -0,0 +1,59 @@
+"""UDP socket owned by one task."""
+
+from collections.abc import Callable
+
+import eventlet
+import eventlet.greenthread
+from eventlet.green import socket
+
+from sapphirelift import messages
+from sapphirelift import wire
+
+_BUFFER_BYTES = 4 << 20
+
+Handler = Callable[[bytes, tuple[str, int]], None]
+
+
+class Endpoint:
+    """A bound UDP socket whose task passes each datagram to a handler."""
+
+    def __init__(self, address: messages.Address, handler: Handler) -> None:
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES
+        )
+        self._socket.bind(address)
+        self.address = messages.Address(*self._socket.getsockname())
+        self._handler = handler
+        self._task: eventlet.greenthread.GreenThread | None = None
+        self.bytes_sent = 0
+        self.datagrams_received = 0
+
+    def start(self) -> None:
+        """Starts to receive."""
+        self._task = eventlet.spawn(self._receive)
+
+    def stop(self) -> None:
+        """Stops to receive and closes the socket."""
+        if self._task is not None:
+            self._task.kill()
+        self._socket.close()
+
+    def send(self, data: bytes, address: tuple[str, int]) -> None:
+        """Sends a datagram; a datagram that cannot be sent is lost."""
+        try:
+            self._socket.sendto(data, address)
+            self.bytes_sent += len(data)
+        except OSError:
+            return
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                data, address = self._socket.recvfrom(
+                    wire.MAX_DATAGRAM_BYTES + 1
+                )
+            except ConnectionError:
+                continue
+            self.datagrams_received += 1
+            self._handler(data, address)
--- /dev/null
+++ b/sapphirelift/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Edge to the platform's object API."""
--- /dev/null
+++ b/sapphirelift/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for backend servers."""
