--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -13,6 +13,7 @@
 from sapphirelift.backends import client as backend_client
 from sapphirelift.core import actions
 from sapphirelift.core import agent
+from sapphirelift.core import limits
 from sapphirelift.core import membership
 
 TICK_S = 0.02
@@ -34,7 +35,7 @@
                 service=backend.service,
                 data_centre=settings.data_centre,
             ),
-            limits=agent.AgentLimits(
+            limits=limits.AgentLimits(
                 slots=backend.slots, max_flows=backend.max_flows
             ),
             ring=self.ring,
@@ -48,8 +49,8 @@
     @property
     def load(self) -> float:
         """Busy share of the admission limit, 0 to 1."""
-        limit = max(self.core.admission.limit(clock.now_ms()), 1.0)
-        return self.core.running / limit
+        limit = max(self.core.requests.admission.limit(clock.now_ms()), 1.0)
+        return self.core.requests.running / limit
 
     def start(self) -> None:
         """Starts all tasks."""
@@ -63,7 +64,7 @@
         self._events.put(agent.Drain())
         with eventlet.Timeout(self.settings.stop_timeout_ms / 1000, False):
             eventlet.sleep(TICK_S)
-            while self.core.flows or self.core.running:
+            while self.core.flows or self.core.requests.running:
                 eventlet.sleep(TICK_S)
             eventlet.sleep(FINAL_RESPONSES_S)
 
@@ -78,8 +79,8 @@
             "service": self.service,
             "counters": dict(self.core.counters),
             "flows": len(self.core.flows),
-            "running": self.core.running,
-            "queued": self.core.queued,
+            "running": self.core.requests.running,
+            "queued": self.core.requests.queued,
             "withdrawn": self.core.withdrawn,
         }
 
--- /dev/null
+++ b/sapphirelift/core/outbox.py
@@ -0,0 +1,50 @@
+"""Actions collected while one event is handled."""
+
+from sapphirelift import messages
+from sapphirelift import wire
+from sapphirelift.core import actions
+from sapphirelift.core import flows
+from sapphirelift.core import keys
+
+
+class Outbox:
+    """Encodes what an agent sends and keeps it until the event is done."""
+
+    def __init__(self, ring: keys.KeyRing) -> None:
+        self.ring = ring
+        self._actions: list[actions.Action] = []
+
+    def take(self) -> list[actions.Action]:
+        """Returns the actions collected and empties the outbox."""
+        taken, self._actions = self._actions, []
+        return taken
+
+    def add(self, action: actions.Action) -> None:
+        """Adds an action."""
+        self._actions.append(action)
+
+    def reply(
+        self, flow: flows.Flow, kind: int, body: tuple[object, ...]
+    ) -> None:
+        """Sends a datagram to the caller of a flow."""
+        data = wire.encode_caller(
+            kind, flow.flow_key, body, flow_token=flow.token
+        )
+        self.relay(flow.balancer, flow.caller, data)
+
+    def relay(
+        self,
+        balancer: messages.Address,
+        caller: messages.Address,
+        data: bytes,
+    ) -> None:
+        """Sends a datagram to a caller through a balancer."""
+        body = wire.encode_forward(caller, data)
+        self.send_peer(balancer, messages.Kind.RELAY, body)
+
+    def send_peer(
+        self, address: messages.Address, kind: int, body: bytes
+    ) -> None:
+        """Sends a datagram to another process of the system."""
+        data = wire.encode_peer(kind, body, self.ring)
+        self.add(actions.SendPeer(address, data))
