--- /dev/null
+++ b/sapphirelift/core/fields.py
@@ -0,0 +1,63 @@
+"""Fields of a service that rules and exceptions can set."""
+
+import math
+from collections.abc import Mapping
+from typing import NamedTuple
+
+
+class Field(NamedTuple):
+    """One field that rules can set.
+
+    Attributes:
+        default: Value where no rule sets one.
+        minimum: Lowest valid value.
+        maximum: Highest valid value.
+        is_integer: Whether only whole numbers are valid.
+        v1_name: Name in schema version 1.
+        v1_scale: Units of this version in one unit of version 1, for
+            example 1000 for milliseconds against seconds.
+    """
+
+    default: float
+    minimum: float
+    maximum: float
+    is_integer: bool
+    v1_name: str
+    v1_scale: int
+
+
+_DAY_MS = 86_400_000
+FIELDS: dict[str, Field] = {
+    "cold_start.initial_share": Field(0.1, 0.01, 1.0, False, "cold_share", 1),
+    "cold_start.ramp_ms": Field(10_000, 0, _DAY_MS, True, "ramp_s", 1000),
+    "fairness.caller_slot_share": Field(
+        0.5, 0.01, 1.0, False, "caller_share", 1
+    ),
+    "flows.idle_timeout_ms": Field(60_000, 1000, _DAY_MS, True, "idle_s", 1000),
+    "flows.max_per_target": Field(2000, 1, 1_000_000, True, "max_flows", 1),
+    "requests.reply_cache_ttl_ms": Field(
+        30_000, 1000, _DAY_MS, True, "reply_ttl_s", 1000
+    ),
+}
+BY_V1_NAME = {field.v1_name: name for name, field in FIELDS.items()}
+
+
+def problem(values: Mapping[str, float]) -> str | None:
+    """Returns what is wrong with values by field name, None if nothing is.
+
+    >>> problem({"cold_start.ramp_ms": 500})
+    >>> problem({"cold_start.ramp_ms": -1})
+    '`cold_start.ramp_ms` must be between 0 and 86400000'
+    >>> problem({"ramp": 1})
+    "unknown field 'ramp'"
+    """
+    for name, value in values.items():
+        field = FIELDS.get(name)
+        if field is None:
+            return f"unknown field {name!r}"
+        if field.is_integer and value != math.floor(value):
+            return f"`{name}` must be a whole number"
+        if not field.minimum <= value <= field.maximum:
+            low, high = field.minimum, field.maximum
+            return f"`{name}` must be between {low} and {high}"
+    return None
--- /dev/null
+++ b/sapphirelift/core/record_set.py
@@ -0,0 +1,90 @@
+"""Records in force: the last valid version of each."""
+
+import collections
+
+import result
+
+from sapphirelift.core import policy
+from sapphirelift.core import records
+from sapphirelift.core import replica
+
+PREFIX = "records/"
+
+
+class RecordSet:
+    """Records by key. A version that is not valid never takes force.
+
+    Attributes:
+        refused: Error text by key, for records whose newest version is not
+            in force.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[str, records.Record] = {}
+        self.refused: dict[str, str] = {}
+        self.counters: collections.Counter[str] = collections.Counter()
+
+    def apply(self, change: replica.StoredObject) -> None:
+        """Brings a changed record into force if it is valid."""
+        if change.value is None:
+            self._records.pop(change.key, None)
+            self.refused.pop(change.key, None)
+            return
+        match records.parse(change.value):
+            case result.Ok(record):
+                self._records[change.key] = record
+                self.refused.pop(change.key, None)
+            case result.Err(error):
+                self.refused[change.key] = str(error)
+                self.counters["records_refused"] += 1
+
+    def service(self, name: str) -> records.Service | None:
+        """Returns a service record."""
+        record = self._records.get(records.key_of("service", name))
+        return record if isinstance(record, records.Service) else None
+
+    def services(self) -> list[records.Service]:
+        """Returns all service records."""
+        return [
+            record
+            for record in self._records.values()
+            if isinstance(record, records.Service)
+        ]
+
+    def policies(self) -> dict[str, records.BranchPolicy]:
+        """Returns the policies by name."""
+        return {
+            record.name: record
+            for record in self._records.values()
+            if isinstance(record, records.BranchPolicy)
+        }
+
+    def withdrawn(self) -> set[str]:
+        """Returns the data centres that operators have taken out."""
+        return {
+            record.name
+            for record in self._records.values()
+            if isinstance(record, records.DataCentre) and record.withdrawn
+        }
+
+    def drained(self) -> set[str]:
+        """Returns the backend servers that operators have drained."""
+        return {
+            record.name
+            for record in self._records.values()
+            if isinstance(record, records.BackendServer) and record.drained
+        }
+
+    def keyring(self) -> records.Keyring | None:
+        """Returns the keyring record."""
+        record = self._records.get(records.key_of("keyring", "cluster"))
+        return record if isinstance(record, records.Keyring) else None
+
+    def effective(self, service: str, data_centre: str) -> policy.Effective:
+        """Returns the values in force for a service; defaults if unknown."""
+        record = self.service(service)
+        if record is None:
+            record = records.Service(name=service, branch=policy.CENTRAL)
+        return policy.effective(
+            record, data_centre=data_centre, policies=self.policies()
+        )
