--- a/sapphirelift/core/policy.py
+++ b/sapphirelift/core/policy.py
@@ -85,7 +85,7 @@
 
 def check_locked(
     record: records.Record, policies: Mapping[str, records.BranchPolicy]
-) -> errors.RecordError | None:
+) -> errors.LockedFieldError | None:
     """Returns an error if a record sets a field that is locked centrally."""
     changed: set[str] = set()
     match record:
@@ -98,7 +98,7 @@
     refused = sorted(changed & _locked(policies))
     if not refused:
         return None
-    return errors.RecordError(
+    return errors.LockedFieldError(
         f"{refused[0]} is locked by the rule branch_policy/{CENTRAL}",
         remedy="remove it, or ask the central team to unlock it",
     )
--- a/sapphirelift/errors.py
+++ b/sapphirelift/errors.py
@@ -17,6 +17,10 @@
     """A settings file cannot be used."""
 
 
+class InputError(SapphireliftError):
+    """A command got an argument or a file that it cannot use."""
+
+
 class DatagramError(SapphireliftError):
     """A datagram is malformed, truncated, oversized or forged.
 
@@ -44,6 +48,14 @@
     """A record has a schema version that this release does not know."""
 
 
+class LockedFieldError(SapphireliftError):
+    """A record sets a field that the central policy locks."""
+
+
+class MissingRecordError(SapphireliftError):
+    """A record that a command needs does not exist."""
+
+
 class ConflictError(SapphireliftError):
     """A conditional update lost against another writer.
 
--- a/sapphirelift/operators/cli.py
+++ b/sapphirelift/operators/cli.py
@@ -1,88 +1,338 @@
 """sapphirelift: the command-line tool."""
 
 import json
+import os
 import pathlib
 import sys
+import urllib.error
+import urllib.request
+from collections.abc import Sequence
 from typing import Any
 
 import fire
+import fire.core
 
 import sapphirelift
 from sapphirelift import errors
+from sapphirelift import messages
+from sapphirelift.core import fields
+from sapphirelift.core import outcomes
+from sapphirelift.core import records
+from sapphirelift.core import replica
+from sapphirelift.operators import output as output_module
+from sapphirelift.operators import record_store
+from sapphirelift.operators import status as status_module
 from sapphirelift.platform import client
 
 REFUSED_STATUS = 1
+INPUT_STATUS = 2
 UNREACHABLE_STATUS = 3
 CONFLICT_STATUS = 4
 
+PLATFORM_VARIABLE = "SAPPHIRELIFT_PLATFORM"
+DEFAULT_PLATFORM = "http://127.0.0.1:8400"
+WATCH_WAIT_MS = 2000
+ADMIN_TIMEOUT_S = 5.0
+SECRET_MASK = "(secret)"
+
 
 class Commands:
-    """Reads and writes records."""
+    """Reads and writes records, and shows the state of the system.
+
+    Options of every command: --platform=URL (or the environment variable
+    SAPPHIRELIFT_PLATFORM) and --output=table|json.
+    """
 
-    def __init__(self, platform_url: str = "http://127.0.0.1:8400") -> None:
-        self._platform = client.ObjectClient(platform_url)
+    def __init__(self, platform: client.ObjectClient) -> None:
+        self._platform = platform
+        self._store = record_store.RecordStore(platform)
 
     def version(self) -> str:
         """Prints the version."""
         return sapphirelift.__version__
 
-    def apply(self, file: str) -> str:
-        """Writes the record in a JSON file."""
-        value = json.loads(pathlib.Path(file).read_text())
-        key = f"records/{value['kind']}/{value['name']}"
-        revision = self._platform.put(key, value)
-        return f"{key} at revision {revision}"
-
-    def get(self, kind: str, name: str) -> str:
-        """Prints a record."""
-        held = self._platform.get(f"records/{kind}/{name}")
-        if held is None:
-            raise errors.RecordError(
-                f"no {kind} {name}", remedy="list the records of that kind"
+    def apply(self, file: str, revision: int | None = None) -> Any:
+        """Checks and writes the records of a JSON file ("-" for stdin).
+
+        With --revision the write is refused unless the record still has
+        that revision (0: unless it does not exist yet).
+        """
+        rows = []
+        for value in _read_records(file):
+            written = self._store.write(value, expected_revision=revision)
+            rows.append({"record": written.key, "revision": written.revision})
+            for setting in written.overruled:
+                print(f"note: locked centrally: {setting}", file=sys.stderr)
+        return rows
+
+    def get(self, kind: str, name: str, schema_version: int = 0) -> Any:
+        """Prints a record, as written or in another schema version."""
+        held = self._store.get(kind, str(name))
+        value = held.value
+        if schema_version:
+            parsed = record_store.unwrap(records.parse(value))
+            value = records.render(parsed, schema_version=schema_version)
+        return {"revision": held.revision, "record": _masked(value)}
+
+    def list(self, kind: str) -> Any:
+        """Lists the records of a kind."""
+        return [_summary(item) for item in self._store.list_kind(kind)]
+
+    def delete(self, kind: str, name: str, revision: int | None = None) -> Any:
+        """Deletes a record."""
+        key = self._store.delete(kind, str(name), expected_revision=revision)
+        return {"deleted": key}
+
+    def diff(self, file: str) -> Any:
+        """Shows what applying a file would change, in the newest version."""
+        rows: list[dict[str, Any]] = []
+        for value in _read_records(file):
+            rows.extend(self._diff_one(value))
+        return rows
+
+    def _diff_one(self, value: dict[str, Any]) -> Sequence[dict[str, Any]]:
+        wanted = record_store.unwrap(records.parse(value))
+        held = self._store.find(wanted.kind, wanted.name)
+        before: dict[str, Any] = {}
+        if held is not None:
+            parsed = record_store.unwrap(records.parse(held.value))
+            before = _masked(records.render(parsed, schema_version=2))
+        after = _masked(records.render(wanted, schema_version=2))
+        return [
+            {
+                "record": records.key_of(wanted.kind, wanted.name),
+                "field": name,
+                "now": before.get(name),
+                "then": after.get(name),
+            }
+            for name in sorted(before.keys() | after.keys())
+            if before.get(name) != after.get(name)
+        ]
+
+    def validate(self, file: str) -> Any:
+        """Checks the records of a file without the platform."""
+        rows = []
+        for value in _read_records(file):
+            record = record_store.unwrap(records.parse(value))
+            key = records.key_of(record.kind, record.name)
+            rows.append({"record": key, "valid": True})
+        return rows
+
+    def effective(self, service: str, data_centre: str) -> Any:
+        """Shows the values in force for a service and their sources."""
+        held, _ = self._store.load()
+        found = held.effective(service, data_centre)
+        return [
+            {
+                "field": name,
+                "value": found.values[name],
+                "source": found.source[name],
+            }
+            for name in fields.FIELDS
+        ]
+
+    def status(self) -> Any:
+        """Shows what is in force where, and what needs attention."""
+        return status_module.summary(self._platform)
+
+    def watch(self, kind: str = "", seconds: float = 60.0) -> None:
+        """Prints changes of records as they happen, for some seconds."""
+        prefix = records.key_of(kind, "") if kind else "records/"
+        since = self._platform.list_objects(prefix).revision
+        print(f"watching from revision {since}", file=sys.stderr)
+        rounds = max(1, round(seconds * 1000 / WATCH_WAIT_MS))
+        for _ in range(rounds):
+            found = self._platform.watch(
+                prefix, since=since, wait_ms=WATCH_WAIT_MS
             )
-        return json.dumps(held.value, indent=2)
+            since = found.revision
+            for item in found.objects:
+                change = "deleted" if item.value is None else "written"
+                print(f"{item.revision} {item.key} {change}", flush=True)
 
-    def withdraw(self, data_centre: str) -> str:
+    def withdraw(self, data_centre: str, reason: str = "") -> Any:
         """Takes a data centre out of service."""
-        return self._set_withdrawn(data_centre, True)
+        changes = {"withdrawn": True} | ({"reason": reason} if reason else {})
+        return self._update("data_centre", data_centre, changes)
 
-    def restore(self, data_centre: str) -> str:
+    def restore(self, data_centre: str) -> Any:
         """Brings a data centre back into service."""
-        return self._set_withdrawn(data_centre, False)
-
-    def _set_withdrawn(self, data_centre: str, withdrawn: bool) -> str:
-        key = f"records/data_centre/{data_centre}"
-        held = self._platform.get(key)
-        value: dict[str, Any] = {
-            "schema_version": 2,
-            "kind": "data_centre",
-            "name": data_centre,
-        }
-        if held is not None and held.value is not None:
-            value = held.value
-        revision = self._platform.put(
-            key,
-            value | {"withdrawn": withdrawn},
-            expected_revision=held.revision if held is not None else 0,
+        return self._update("data_centre", data_centre, {"withdrawn": False})
+
+    def drain(self, backend_server: str, undo: bool = False) -> Any:
+        """Drains a backend server, by the name of its agent."""
+        return self._update(
+            "backend_server", backend_server, {"drained": not undo}
         )
-        return f"{key} at revision {revision}"
 
+    def _update(self, kind: str, name: str, changes: dict[str, Any]) -> Any:
+        written = self._store.update(kind, str(name), changes)
+        return {"record": written.key, "revision": written.revision}
 
-def main() -> None:
-    """Entry point of ``sapphirelift``."""
+    def dump(self, address: str) -> Any:
+        """Prints the state of a process, by its admin address IP:PORT."""
+        try:
+            with urllib.request.urlopen(
+                f"http://{address}/dump", timeout=ADMIN_TIMEOUT_S
+            ) as answer:
+                return json.load(answer)
+        except (OSError, urllib.error.URLError, ValueError) as error:
+            raise errors.InputError(
+                f"no state dump from {address}: {error}",
+                remedy="give the admin address of a running process",
+            ) from error
+
+    def call(
+        self,
+        service: str,
+        path: str,
+        balancers: str,
+        body: str = "",
+        method: str = "GET",
+        idempotent: bool = True,
+        deadline_ms: int = 5000,
+    ) -> Any:
+        """Runs one request as a caller; balancers are IP:PORT,IP:PORT."""
+        # Imported here because only this command needs sockets of a caller.
+        from sapphirelift.callers import client as caller_client
+
+        caller = caller_client.Caller(_addresses(balancers), seed=os.getpid())
+        session = caller.open(service, timeout_s=deadline_ms / 1000)
+        outcome = session.request(
+            method,
+            path,
+            body=str(body).encode(),
+            idempotent=idempotent,
+            deadline_ms=deadline_ms,
+        )
+        session.close()
+        return _outcome_row(outcome)
+
+
+def _outcome_row(outcome: outcomes.Outcome) -> dict[str, Any]:
+    match outcome:
+        case outcomes.Answered(status, body):
+            text = body.decode(errors="replace")
+            return {"outcome": "answered", "status": status, "body": text}
+        case outcomes.NotRun(reason):
+            return {"outcome": "not_run", "reason": reason}
+        case outcomes.Unknown(reason):
+            return {"outcome": "unknown", "reason": reason}
+
+
+def _addresses(text: Any) -> Sequence[messages.Address]:
+    """Parses IP:PORT,IP:PORT; fire may have split it already."""
+    parts = text if isinstance(text, list | tuple) else str(text).split(",")
+    try:
+        pairs = [str(part).rsplit(":", 1) for part in parts]
+        return [messages.Address(ip, int(port)) for ip, port in pairs]
+    except ValueError as error:
+        raise errors.InputError(
+            f"{text} is not a list of addresses", remedy="write IP:PORT,IP:PORT"
+        ) from error
+
+
+def _read_records(file: str) -> Sequence[dict[str, Any]]:
+    try:
+        if file == "-":
+            text = sys.stdin.read()
+        else:
+            text = pathlib.Path(file).read_text()
+        value = json.loads(text)
+    except OSError as error:
+        raise errors.InputError(
+            f"cannot read {file}: {error.strerror}",
+            remedy="name a readable file",
+        ) from error
+    except ValueError as error:
+        raise errors.InputError(
+            f"{file} is not JSON: {error}", remedy="correct the file"
+        ) from error
+    return value if isinstance(value, list) else [value]
+
+
+def _masked(value: Any) -> Any:
+    """Hides the keys of a keyring."""
+    if isinstance(value, dict) and value.get("kind") == "keyring":
+        hidden = dict.fromkeys(value.get("keys", {}), SECRET_MASK)
+        return value | {"keys": hidden}
+    return value
+
+
+def _summary(item: replica.StoredObject) -> dict[str, Any]:
+    value = item.value or {}
+    details = {
+        name: field
+        for name, field in _masked(value).items()
+        if name not in ("kind", "name", "schema_version")
+    }
+    return {
+        "name": value.get("name"),
+        "schema_version": value.get("schema_version"),
+        "revision": item.revision,
+        "details": details,
+    }
+
+
+def _take_option(arguments: list[str], name: str, default: str) -> str:
+    """Removes ``--name=value`` from the arguments and returns the value."""
+    prefix = f"--{name}="
+    found = default
+    for argument in list(arguments):
+        if argument.startswith(prefix):
+            arguments.remove(argument)
+            found = argument.removeprefix(prefix)
+    return found
+
+
+def run(arguments: list[str]) -> int:
+    """Runs one command and returns the exit status."""
+    arguments = list(arguments)
+    if arguments[:1] == ["bench"]:
+        from sapphirelift.bench import cli as bench_cli
+
+        return bench_cli.run(arguments[1:])
+    if arguments[:1] == ["demo"]:
+        from sapphirelift import demo
+
+        return demo.main()
+    output = _take_option(arguments, "output", "table")
+    default = os.environ.get(PLATFORM_VARIABLE, DEFAULT_PLATFORM)
+    url = _take_option(arguments, "platform", default)
     try:
-        fire.Fire(Commands, name="sapphirelift")
+        fire.Fire(
+            Commands(client.ObjectClient(url)),
+            command=arguments,
+            name="sapphirelift",
+            serialize=lambda value: (
+                value
+                if value is None or isinstance(value, Commands)
+                else output_module.render(value, output=output)
+            ),
+        )
     except errors.ConflictError as error:
-        _exit(error, CONFLICT_STATUS)
+        return _fail(error, CONFLICT_STATUS)
     except errors.PlatformUnavailableError as error:
-        _exit(error, UNREACHABLE_STATUS)
+        return _fail(error, UNREACHABLE_STATUS)
+    except (errors.InputError, errors.RecordError) as error:
+        return _fail(error, INPUT_STATUS)
     except errors.SapphireliftError as error:
-        _exit(error, REFUSED_STATUS)
+        return _fail(error, REFUSED_STATUS)
+    except fire.core.FireExit as error:
+        return error.code
+    except KeyboardInterrupt:
+        return REFUSED_STATUS
+    return 0
 
 
-def _exit(error: errors.SapphireliftError, status: int) -> None:
+def _fail(error: errors.SapphireliftError, status: int) -> int:
     print(f"sapphirelift: {error}", file=sys.stderr)
-    sys.exit(status)
+    return status
+
+
+def main() -> None:
+    """Entry point of ``sapphirelift``."""
+    sys.exit(run(sys.argv[1:]))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/sapphirelift/operators/output.py
@@ -0,0 +1,69 @@
+"""Output for people (tables) and programs (JSON)."""
+
+import json
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import Any
+
+from sapphirelift import errors
+
+FORMATS = ("table", "json")
+Row = Mapping[str, Any]
+
+
+def render(value: Any, *, output: str) -> str:
+    """Returns a value as text.
+
+    Args:
+        value: A row, a list of rows or a text.
+        output: ``table`` or ``json``.
+
+    Raises:
+        InputError: The format does not exist.
+
+    >>> print(render([{"name": "a", "load": 1}], output="table"))
+    NAME  LOAD
+    a     1
+    """
+    if output not in FORMATS:
+        raise errors.InputError(
+            f"output {output!r} does not exist",
+            remedy=f"use one of {', '.join(FORMATS)}",
+        )
+    if output == "json":
+        return json.dumps(value, indent=2)
+    match value:
+        case str():
+            return value
+        case []:
+            return "nothing found"
+        case [*rows]:
+            return table(rows)
+        case _:
+            return "\n".join(f"{name}: {_cell(v)}" for name, v in value.items())
+
+
+def table(rows: Sequence[Row]) -> str:
+    """Returns rows as a table with a heading.
+
+    >>> print(table([{"name": "a", "state": "up"}, {"name": "bb"}]))
+    NAME  STATE
+    a     up
+    bb
+    """
+    columns = list(dict.fromkeys(name for row in rows for name in row))
+    cells = [[column.upper() for column in columns]]
+    cells += [[_cell(row.get(c, "")) for c in columns] for row in rows]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    return "\n".join(
+        "  ".join(
+            c.ljust(w) for c, w in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in cells
+    )
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, str):
+        return value
+    return json.dumps(value)
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -173,5 +173,5 @@
         assert found.values["cold_start.ramp_ms"] == 9000
         assert found.ignored == ["service/catalogue: cold_start.ramp_ms"]
         error = policy.check_locked(service, policies)
-        assert isinstance(error, errors.RecordError)
+        assert isinstance(error, errors.LockedFieldError)
         assert "branch_policy/central" in str(error)
