Add the TCP entry, metrics and the state dump on SIGUSR1

The entry opens one session a connection, so that callers behind it are told apart by fair queueing. Found by the test: stopping the entry altered the table of connections while it was read, and a caller that gave up opening left its session behind.

--- a/sapphirelift/callers/client.py
+++ b/sapphirelift/callers/client.py
@@ -9,6 +9,7 @@
 import eventlet.queue
 
 from sapphirelift import clock
+from sapphirelift import errors
 from sapphirelift import messages
 from sapphirelift.core import caller
 from sapphirelift.core import outcomes
@@ -53,14 +54,22 @@
         """Opens a session.
 
         Raises:
-            eventlet.Timeout: No agent accepted the flow in time.
+            FlowError: No agent accepted the flow in time.
         """
         opened: eventlet.event.Event = eventlet.event.Event()
         session_id, out = self.core.open_session(service, now_ms=clock.now_ms())
         self._opening[session_id] = opened
         self._carry_out(out)
-        with eventlet.Timeout(timeout_s):
-            opened.wait()
+        try:
+            with eventlet.Timeout(timeout_s):
+                opened.wait()
+        except eventlet.Timeout as error:
+            self._opening.pop(session_id, None)
+            self.close_session(session_id)
+            raise errors.FlowError(
+                f"no flow to {service} within {timeout_s} s",
+                remedy="check that the service has backend servers up",
+            ) from error
         return Session(self, session_id)
 
     def request(
--- /dev/null
+++ b/sapphirelift/callers/tcp_entry.py
@@ -0,0 +1,177 @@
+"""TCP entry for ordinary callers, such as curl or nc.
+
+It speaks HTTP/1.1. Each connection has a session of its own, so its flow
+moves on planned changes like any other. The connection itself ends with the
+balancer that holds it.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import eventlet
+import eventlet.greenthread
+import eventlet.wsgi
+
+from sapphirelift import errors
+from sapphirelift import messages
+from sapphirelift.callers import client
+from sapphirelift.core import outcomes
+from sapphirelift.core import transfer
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+# Methods that RFC 9110, section 9.2.2, defines as idempotent.
+IDEMPOTENT_METHODS = frozenset(
+    {"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"}
+)
+OPEN_TIMEOUT_S = 5.0
+DEFAULT_DEADLINE_MS = 30_000
+MAX_CONNECTIONS = 1000
+
+
+class _Connection:
+    """A caller and session that live as long as one TCP connection."""
+
+    def __init__(self, entry: "TcpEntry") -> None:
+        self._caller = client.Caller(
+            [entry.balancer], seed=entry.next_seed(), ip=entry.balancer.ip
+        )
+        self._service = entry.service
+        self._session: client.Session | None = None
+
+    def request(
+        self, method: str, path: str, body: bytes, deadline_ms: int
+    ) -> outcomes.Outcome:
+        """Runs a request; opens the session at the first one."""
+        if self._session is None:
+            try:
+                self._session = self._caller.open(
+                    self._service, timeout_s=OPEN_TIMEOUT_S
+                )
+            except errors.FlowError:
+                return outcomes.NotRun("no_backend_server")
+        return self._session.request(
+            method,
+            path,
+            body=body,
+            idempotent=method in IDEMPOTENT_METHODS,
+            deadline_ms=deadline_ms,
+        )
+
+    def close(self) -> None:
+        """Closes the session and the caller's socket."""
+        if self._session is not None:
+            self._session.close()
+        self._caller.close()
+
+
+class TcpEntry:
+    """Listens on a service's TCP port."""
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        address: messages.Address,
+        balancer: messages.Address,
+    ) -> None:
+        self.service = service
+        self.balancer = balancer
+        self._listener = eventlet.listen(address)
+        self._seed = 0
+        self._connections: dict[tuple[str, str], _Connection] = {}
+        self._task: eventlet.greenthread.GreenThread | None = None
+
+    def next_seed(self) -> int:
+        """Returns a seed that no other connection of this entry has."""
+        self._seed += 1
+        return self._seed
+
+    def start(self) -> None:
+        """Starts to accept connections."""
+        self._task = eventlet.spawn(
+            eventlet.wsgi.server,
+            self._listener,
+            self._answer,
+            protocol=self._protocol(),
+            log_output=False,
+            max_size=MAX_CONNECTIONS,
+        )
+
+    def stop(self) -> None:
+        """Stops to accept connections and closes those that are open."""
+        if self._task is not None:
+            self._task.kill()
+        self._listener.close()
+        connections, self._connections = self._connections, {}
+        for connection in connections.values():
+            connection.close()
+
+    def _protocol(self) -> type[eventlet.wsgi.HttpProtocol]:
+        entry = self
+
+        class Protocol(eventlet.wsgi.HttpProtocol):
+            """Closes the session when the connection ends."""
+
+            def finish(self) -> None:
+                """Ends the connection."""
+                super().finish()
+                entry.forget(self.client_address)
+
+        return Protocol
+
+    def forget(self, address: tuple[str, int]) -> None:
+        """Closes the session of a connection that has ended."""
+        key = (address[0], str(address[1]))
+        connection = self._connections.pop(key, None)
+        if connection is not None:
+            connection.close()
+
+    def _answer(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        key = (environ["REMOTE_ADDR"], environ["REMOTE_PORT"])
+        connection = self._connections.get(key)
+        if connection is None:
+            connection = self._connections[key] = _Connection(self)
+        body = environ["wsgi.input"].read(transfer.MAX_BODY_BYTES + 1)
+        if len(body) > transfer.MAX_BODY_BYTES:
+            start_response("413 Content Too Large", [])
+            return [b"body over 1 MiB; send it in parts\n"]
+        outcome = connection.request(
+            environ["REQUEST_METHOD"],
+            _target(environ),
+            body,
+            _deadline_ms(environ),
+        )
+        return _respond(outcome, start_response)
+
+
+def _target(environ: dict[str, Any]) -> str:
+    path = environ.get("RAW_PATH_INFO") or environ["PATH_INFO"]
+    query = environ.get("QUERY_STRING")
+    return f"{path}?{query}" if query else path
+
+
+def _deadline_ms(environ: dict[str, Any]) -> int:
+    text = environ.get("HTTP_X_DEADLINE_MS", "")
+    return int(text) if text.isdecimal() else DEFAULT_DEADLINE_MS
+
+
+def _respond(
+    outcome: outcomes.Outcome, start_response: StartResponse
+) -> Iterable[bytes]:
+    match outcome:
+        case outcomes.Answered(status, body):
+            start_response(f"{status} Answered", [])
+            return [body]
+        case outcomes.NotRun(reason):
+            headers = [("X-Not-Run", "1"), ("Retry-After", "1")]
+            start_response("503 Service Unavailable", headers)
+            return [f"not run: {reason}\n".encode()]
+        case outcomes.Unknown("deadline"):
+            start_response("504 Gateway Timeout", [])
+            return [b"outcome unknown: deadline\n"]
+        case outcomes.Unknown(reason):
+            start_response("502 Bad Gateway", [])
+            return [f"outcome unknown: {reason}\n".encode()]
--- a/sapphirelift/daemon.py
+++ b/sapphirelift/daemon.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 
+import eliot
 import eventlet
 import eventlet.event
 
@@ -35,6 +36,11 @@
         if not stopping.ready():
             stopping.send(None)
 
+    def on_dump(signum: int, frame: object) -> None:
+        del signum, frame
+        eliot.log_message("state_dump", **node.dump())
+
+    signal.signal(signal.SIGUSR1, on_dump)
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     node.start()
@@ -54,6 +60,7 @@
     except errors.SettingsError as error:
         print(f"sapphireliftd: {error}", file=sys.stderr)
         sys.exit(USAGE_STATUS)
+    eliot.to_file(sys.stderr)
     run(settings)
     # Threads of grpc and tpool hold nothing that must be saved.
     sys.stdout.flush()
--- a/sapphirelift/operators/admin.py
+++ b/sapphirelift/operators/admin.py
@@ -8,8 +8,10 @@
 
 import eventlet
 import eventlet.wsgi
+import prometheus_client
 
 from sapphirelift import messages
+from sapphirelift.operators import metrics
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
@@ -44,6 +46,11 @@
     def _answer(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
+        if environ["PATH_INFO"] == "/metrics":
+            text = metrics.exposition(self._node)
+            content_type = prometheus_client.CONTENT_TYPE_LATEST
+            start_response("200 OK", [("Content-Type", content_type)])
+            return [text]
         status, body = self._route(environ["PATH_INFO"])
         start_response(status, [("Content-Type", "application/json")])
         return [json.dumps(body).encode()]
