--- a/sapphirelift/settings.py
+++ b/sapphirelift/settings.py
@@ -1,6 +1,10 @@
 """Daemon settings: a JSON file checked against types."""
 
+import difflib
+import ipaddress
 import pathlib
+import re
+from collections.abc import Iterator
 from typing import Literal
 
 import msgspec
@@ -8,6 +12,11 @@
 from sapphirelift import errors
 from sapphirelift import messages
 
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9.-]{0,63}")
+# BLAKE2b takes keys of up to 64 bytes.
+_MIN_KEY_BYTES = 16
+_MAX_KEY_BYTES = 64
+
 
 class Endpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """An IPv4 address and port."""
@@ -90,20 +99,85 @@
         settings = msgspec.json.decode(data, type=Settings)
     except msgspec.MsgspecError as error:
         raise errors.SettingsError(
-            f"settings: {error}", remedy="correct the field named"
+            f"settings: {error}", remedy=_remedy(str(error))
         ) from error
-    _check_role(settings)
+    for problem in _problems(settings):
+        raise problem
     return settings
 
 
-def _check_role(settings: Settings) -> None:
-    if settings.role == "balancer" and settings.public is None:
-        raise errors.SettingsError(
-            "settings: `public` is missing",
-            remedy="a balancer needs an address towards callers",
+def _remedy(message: str) -> str:
+    """Returns what to do about a decoding error."""
+    unknown = re.search(r"unknown field `(\w+)`", message)
+    if unknown is None:
+        return "correct the field named"
+    known = [
+        field
+        for struct in (Settings, BackendSettings, Endpoint)
+        for field in struct.__struct_fields__
+    ]
+    similar = difflib.get_close_matches(unknown[1], known, n=1, cutoff=0.6)
+    if not similar:
+        return "remove it or see the table of settings in docs/operators.md"
+    return f"did you mean `{similar[0]}`? Units are part of the name"
+
+
+def _problems(settings: Settings) -> Iterator[errors.SettingsError]:
+    """Yields what the types cannot express."""
+    if not _NAME.fullmatch(settings.name):
+        yield _problem(
+            "name", "use letters, digits, dots and hyphens, 1 to 64 of them"
         )
+    if settings.role == "balancer" and settings.public is None:
+        yield _problem("public", "a balancer needs an address for callers")
     if settings.role == "agent" and settings.backend is None:
-        raise errors.SettingsError(
-            "settings: `backend` is missing",
-            remedy="an agent needs a backend server",
-        )
+        yield _problem("backend", "an agent needs a backend server")
+    if not _is_key(settings.cluster_key_hex):
+        yield _problem("cluster_key_hex", "use 32 to 128 hexadecimal digits")
+    for field, endpoint in _endpoints(settings):
+        if not _is_ipv4(endpoint.ip):
+            yield _problem(f"{field}.ip", "use an IPv4 address")
+        if not 0 < endpoint.port < 65536:
+            yield _problem(f"{field}.port", "use a port from 1 to 65535")
+    for field, value in _durations(settings):
+        if value <= 0:
+            yield _problem(field, "use a duration above 0")
+
+
+def _problem(field: str, remedy: str) -> errors.SettingsError:
+    return errors.SettingsError(
+        f"settings: `{field}` is missing or out of range", remedy=remedy
+    )
+
+
+def _is_key(digits: str) -> bool:
+    try:
+        return _MIN_KEY_BYTES <= len(bytes.fromhex(digits)) <= _MAX_KEY_BYTES
+    except ValueError:
+        return False
+
+
+def _is_ipv4(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _endpoints(settings: Settings) -> Iterator[tuple[str, Endpoint]]:
+    yield "peer", settings.peer
+    yield "admin", settings.admin
+    if settings.public is not None:
+        yield "public", settings.public
+    for index, neighbour in enumerate(settings.neighbours):
+        yield f"neighbours[{index}]", neighbour
+    if settings.backend is not None:
+        backend = settings.backend
+        yield "backend", Endpoint(backend.ip, backend.port)
+
+
+def _durations(settings: Settings) -> Iterator[tuple[str, int]]:
+    for field in Settings.__struct_fields__:
+        if field.endswith("_ms"):
+            yield field, getattr(settings, field)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,73 @@
+"""Daemon settings."""
+
+import json
+import pathlib
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+
+from sapphirelift import errors
+from sapphirelift import settings
+
+VALID: dict[str, Any] = {
+    "name": "balancer-1",
+    "role": "balancer",
+    "data_centre": "etela-a",
+    "peer": {"ip": "127.0.0.1", "port": 7001},
+    "admin": {"ip": "127.0.0.1", "port": 7002},
+    "public": {"ip": "127.0.0.1", "port": 7003},
+    "platform_url": "http://127.0.0.1:8400",
+    "cluster_key_hex": "5a" * 32,
+}
+
+
+class TestParse:
+    """Checks of a settings file."""
+
+    @pytest.mark.parametrize(
+        ("change", "expected"),
+        [
+            ({"stop_timeout_s": 5}, "did you mean `stop_timeout_ms`"),
+            ({"stop_timeout_ms": "5"}, "stop_timeout_ms"),
+            ({"stop_timeout_ms": 0}, "stop_timeout_ms"),
+            ({"public": None}, "public"),
+            ({"role": "agent"}, "backend"),
+            ({"role": "proxy"}, "role"),
+            ({"cluster_key_hex": "zz"}, "cluster_key_hex"),
+            ({"peer": {"ip": "localhost", "port": 1}}, "peer.ip"),
+            ({"admin": {"ip": "127.0.0.1", "port": 0}}, "admin.port"),
+            ({"admin": {"ip": "127.0.0.1"}}, "port"),
+            ({"name": "a/b"}, "name"),
+        ],
+    )
+    def test_error_names_the_field(
+        self, change: dict[str, Any], expected: str
+    ) -> None:
+        """Guards against settings that are accepted or refused blindly."""
+        with pytest.raises(errors.SettingsError, match="; ") as caught:
+            settings.parse(json.dumps(VALID | change).encode())
+        assert expected in str(caught.value)
+
+    def test_valid_settings(self) -> None:
+        """Guards against checks that refuse a correct file."""
+        assert settings.parse(json.dumps(VALID).encode()).role == "balancer"
+
+
+class TestDaemon:
+    """Start of the daemon with settings that it cannot use."""
+
+    def test_one_line_and_exit_status(self, tmp_path: pathlib.Path) -> None:
+        """Guards against a traceback instead of one line."""
+        path = tmp_path / "settings.json"
+        path.write_text(json.dumps(VALID | {"colour": "blue"}))
+        done = subprocess.run(
+            [sys.executable, "-m", "sapphirelift.daemon", "--settings", path],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+        assert done.returncode == 2
+        assert done.stderr.count("\n") == 1
+        assert "colour" in done.stderr
