Add adaptive admission, fair queueing, a bounded reply cache and exact outcomes

The thin version let every request run up to the slots at once, took a restart and a cold backend server for normal, and dropped the 65th request of a flow within 30 s because finished requests counted as open ones.

--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -2,9 +2,11 @@
 
 from typing import Any
 
+import eliot
 import eventlet
 import eventlet.greenthread
 import eventlet.queue
+import greenlet
 
 from sapphirelift import _node
 from sapphirelift import clock
@@ -17,6 +19,8 @@
 from sapphirelift.core import membership
 
 TICK_S = 0.02
+# A restart that takes less time than this goes unnoticed while idle.
+BACKEND_WATCH_S = 0.1
 FINAL_RESPONSES_S = 0.5
 
 
@@ -36,7 +40,15 @@
                 data_centre=settings.data_centre,
             ),
             limits=limits.AgentLimits(
-                slots=backend.slots, max_flows=backend.max_flows
+                slots=backend.slots,
+                max_flows=backend.max_flows,
+                initial_share=backend.initial_share,
+                ramp_ms=backend.ramp_ms,
+                caller_slot_share=backend.caller_slot_share,
+                queue_requests=backend.queue_requests,
+                reply_cache_bytes=backend.reply_cache_bytes,
+                reply_cache_ttl_ms=backend.reply_cache_ttl_ms,
+                assembly_bytes=backend.assembly_bytes,
             ),
             ring=self.ring,
         )
@@ -57,6 +69,7 @@
         super().start()
         eventlet.spawn(self._run_core)
         eventlet.spawn(self._tick)
+        eventlet.spawn(self._watch_backend)
 
     def stop(self) -> None:
         """Stops by plan: finishes requests and moves all flows away."""
@@ -82,6 +95,10 @@
             "running": self.core.requests.running,
             "queued": self.core.requests.queued,
             "withdrawn": self.core.withdrawn,
+            "admission_limit": self.core.requests.admission.limit(
+                clock.now_ms()
+            ),
+            "cold_restarts": self.core.requests.admission.cold_restarts,
         }
 
     def on_peer_datagram(
@@ -100,24 +117,41 @@
             eventlet.sleep(TICK_S)
             self._events.put(agent.Tick())
 
+    def _watch_backend(self) -> None:
+        while True:
+            if self._backend.is_gone():
+                self._events.put(agent.BackendGone())
+            eventlet.sleep(BACKEND_WATCH_S)
+
     def carry_out_own(self, action: actions.Action) -> None:
         """Carries out an action that only an agent has."""
         match action:
             case actions.StartRun():
-                self._runs[action.run_id] = eventlet.spawn(self._run, action)
+                task = eventlet.spawn(self._backend.run, action)
+                self._runs[action.run_id] = task
+                # A link also runs if the task is killed before it begins; a
+                # ``finally`` in the task would not, and the slot be lost.
+                task.link(self._on_run_ended, action.run_id)
             case actions.CancelRun(run_id):
                 task = self._runs.get(run_id)
                 if task is not None:
                     task.kill()
 
-    def _run(self, run: actions.StartRun) -> None:
-        result = backend_client.CANCELLED
+    def _on_run_ended(
+        self, task: eventlet.greenthread.GreenThread, run_id: int
+    ) -> None:
+        self._runs.pop(run_id, None)
         try:
-            result = self._backend.run(run)
-        finally:
-            self._runs.pop(run.run_id, None)
-            self._events.put(
-                agent.RunFinished(
-                    run.run_id, result.outcome, result.shed, result.failed
-                )
+            result = task.wait()
+        except greenlet.GreenletExit:
+            result = backend_client.CANCELLED
+        except Exception:  # A fault must not lose the slot.
+            eliot.write_traceback()
+            result = backend_client.FAULT
+        if isinstance(result, greenlet.GreenletExit):
+            result = backend_client.CANCELLED
+        self._events.put(
+            agent.RunFinished(
+                run_id, result.outcome, result.shed, result.failed
             )
+        )
--- a/sapphirelift/core/agent.py
+++ b/sapphirelift/core/agent.py
@@ -71,7 +71,12 @@
     out: bool
 
 
-Event = PeerDatagram | RunFinished | Tick | Drain | Withdraw
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendGone:
+    """The backend server accepts no connections; it is cold afterwards."""
+
+
+Event = PeerDatagram | RunFinished | Tick | Drain | Withdraw | BackendGone
 
 
 class AgentCore:
@@ -121,7 +126,9 @@
                 case Drain():
                     self._on_drain(now_ms)
                 case Withdraw(out=out):
-                    self._on_withdraw(out)
+                    self._on_withdraw(out, now_ms)
+                case BackendGone():
+                    self.requests.admission.restart(now_ms)
         except errors.DatagramError as error:
             self.counters[f"dropped_{error.reason}"] += 1
         self.requests.start_runs(now_ms)
@@ -245,6 +252,8 @@
         match datagram.kind:
             case _Kind.REQUEST:
                 self.requests.on_fragment(flow, datagram.body, now_ms)
+                if self.state != membership.UP:
+                    self._send_move(flow, now_ms)
             case _Kind.RESPONSE_ACK:
                 self.requests.on_response_ack(flow, datagram.body)
             case _Kind.CANCEL:
@@ -285,6 +294,7 @@
     # Time and changes of state.
 
     def _on_tick(self, now_ms: int) -> None:
+        self.requests.expire(now_ms)
         self.requests.send_responses(now_ms)
         if now_ms >= self._sweep_ms:
             self._sweep_ms = now_ms + 250
@@ -296,7 +306,6 @@
                 self._close(flow)
                 self.counters["flows_expired"] += 1
                 continue
-            self.requests.evict_replies(flow, now_ms)
             if self.state != membership.UP:
                 self._send_move(flow, now_ms)
 
@@ -321,12 +330,13 @@
             self.requests.refuse_unstarted(flow, now_ms)
             self._send_move(flow, now_ms)
 
-    def _on_withdraw(self, out: bool) -> None:
+    def _on_withdraw(self, out: bool, now_ms: int) -> None:
         if out == self.withdrawn:
             return
         self.withdrawn = out
         self._out.add(actions.LogState("data_centre_withdrawn", {"out": out}))
         if not out:
+            self.requests.admission.restart(now_ms)
             return
         for flow in list(self.flows.values()):
             reset = messages.Reset("data_centre_withdrawn")
@@ -335,5 +345,5 @@
 
     def _close(self, flow: flows.Flow) -> None:
         """Forgets a flow and cancels what still runs for it."""
+        self.requests.close_flow(flow)
         del self.flows[flow.flow_key]
-        self.requests.cancel_all(flow)
--- a/sapphirelift/core/flows.py
+++ b/sapphirelift/core/flows.py
@@ -15,6 +15,9 @@
         receiver: Collects the request; None once it is complete.
         outcome: The result, None while the request is not finished.
         sender: Sends the response; None while there is none.
+        caller: Caller name at arrival; the flow's address may change later.
+        held_bytes: Bytes counted against ``assembly_bytes``.
+        progress_ms: When the last new fragment arrived.
     """
 
     request_id: int
@@ -30,6 +33,9 @@
     outcome: outcomes.Outcome | None = None
     sender: transfer.FragmentSender | None = None
     finished_ms: int | None = None
+    caller: str = ""
+    held_bytes: int = 0
+    progress_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,6 +46,8 @@
         token: The sealed token; packets must carry exactly this one.
         balancer: Peer address of the balancer that sent the last packet.
         forgotten_id: Highest request id whose state has been evicted.
+        unfinished: Requests without an outcome.
+        held_bytes: Bytes of requests that have not been started.
     """
 
     flow_key: bytes
@@ -49,6 +57,8 @@
     heard_ms: int
     requests: dict[int, RequestState] = dataclasses.field(default_factory=dict)
     forgotten_id: int = -1
+    unfinished: int = 0
+    held_bytes: int = 0
     move_sent_ms: int | None = None
 
     @property
--- a/sapphirelift/core/requests.py
+++ b/sapphirelift/core/requests.py
@@ -12,10 +12,15 @@
 from sapphirelift.core import membership
 from sapphirelift.core import outbox
 from sapphirelift.core import outcomes
+from sapphirelift.core import replies
 from sapphirelift.core import transfer
 
 _Kind = messages.Kind
 
+MAX_DEADLINE_MS = 600_000
+# Estimated memory of an unfinished request beside its body.
+ENTRY_BYTES = 1024
+
 
 class Requests:
     """Receives, queues, runs and answers requests.
@@ -32,15 +37,30 @@
         out: outbox.Outbox,
         counters: collections.Counter[str],
     ) -> None:
-        self.admission = admission.Admission(slots=limits.slots)
+        self.admission = admission.Admission(
+            slots=limits.slots,
+            initial_share=limits.initial_share,
+            ramp_ms=limits.ramp_ms,
+        )
         self.state = membership.UP
         self._limits = limits
         self._flows = flow_table
         self._out = out
         self._counters = counters
         self._queue: fairness.FairQueue[flows.RequestState] = (
-            fairness.FairQueue(capacity=limits.queue_requests)
+            fairness.FairQueue(
+                capacity=limits.queue_requests,
+                slots=limits.slots,
+                caller_slot_share=limits.caller_slot_share,
+            )
         )
+        self._assembling: dict[tuple[bytes, int], flows.RequestState] = {}
+        self._replies = replies.ReplyCache(
+            max_bytes=limits.reply_cache_bytes,
+            ttl_ms=limits.reply_cache_ttl_ms,
+            per_flow=limits.replies_per_flow,
+        )
+        self._held_bytes = 0
         self._runs: dict[int, flows.RequestState] = {}
         self._responding: dict[tuple[bytes, int], flows.RequestState] = {}
         self._next_run_id = 1
@@ -76,41 +96,77 @@
         if state.receiver is None:
             self._acknowledge(flow, fragment)
             return
+        missing_before = state.receiver.missing_count
         state.receiver.add(
             index=fragment.fragment_index,
             count=fragment.fragment_count,
             expected_hash=fragment.body_hash,
             payload=fragment.payload,
         )
+        if state.receiver.missing_count < missing_before:
+            state.progress_ms = now_ms
+            self._hold(flow, state, len(fragment.payload))
+            if self._is_over_memory(flow):
+                self._finish(state, outcomes.NotRun("overloaded"), now_ms)
+                return
         ack = messages.FragmentAck(fragment.request_id, state.receiver.bitmap)
         self._out.reply(flow, _Kind.REQUEST_ACK, ack)
         if state.receiver.is_complete:
             self._enqueue(flow, state, now_ms)
 
+    def _hold(
+        self, flow: flows.Flow, state: flows.RequestState, size: int
+    ) -> None:
+        """Counts memory of a request that has not been started."""
+        state.held_bytes += size
+        flow.held_bytes += size
+        self._held_bytes += size
+
+    def _release(self, state: flows.RequestState) -> None:
+        flow = self._flows.get(state.flow_key)
+        if flow is not None:
+            flow.held_bytes -= state.held_bytes
+        self._held_bytes -= state.held_bytes
+        state.held_bytes = 0
+        self._assembling.pop((state.flow_key, state.request_id), None)
+
+    def _is_over_memory(self, flow: flows.Flow) -> bool:
+        bound = self._limits.assembly_bytes
+        return self._held_bytes > bound or flow.held_bytes > bound // 4
+
     def _add(
         self, flow: flows.Flow, fragment: messages.Request, now_ms: int
     ) -> flows.RequestState:
-        if len(flow.requests) >= self._limits.max_requests_per_flow:
+        if flow.unfinished >= self._limits.max_requests_per_flow:
             raise errors.DatagramError("too_many_requests")
+        deadline_ms = min(max(fragment.deadline_ms, 0), MAX_DEADLINE_MS)
         state = flows.RequestState(
             request_id=fragment.request_id,
             flow_key=flow.flow_key,
             method=fragment.method,
             path=fragment.path,
             idempotent=fragment.idempotent,
-            deadline_at_ms=now_ms + fragment.deadline_ms,
+            deadline_at_ms=now_ms + deadline_ms,
             receiver=transfer.FragmentReceiver(
                 count=fragment.fragment_count,
                 expected_hash=fragment.body_hash,
             ),
+            caller=flow.caller_name,
+            progress_ms=now_ms,
         )
-        flow.requests[fragment.request_id] = state
+        self._insert(flow, state)
+        self._hold(flow, state, ENTRY_BYTES)
+        self._assembling[flow.flow_key, state.request_id] = state
         if fragment.request_id <= flow.forgotten_id:
             self._finish(state, outcomes.Unknown("forgotten"), now_ms)
         elif self.state != membership.UP:
             self._finish(state, outcomes.NotRun(self.state), now_ms)
         return state
 
+    def _insert(self, flow: flows.Flow, state: flows.RequestState) -> None:
+        flow.requests[state.request_id] = state
+        flow.unfinished += 1
+
     def _acknowledge(
         self, flow: flows.Flow, fragment: messages.Request
     ) -> None:
@@ -123,40 +179,68 @@
         self, flow: flows.Flow, state: flows.RequestState, now_ms: int
     ) -> None:
         assert state.receiver is not None
-        state.body = state.receiver.body()
+        try:
+            state.body = state.receiver.body()
+        except errors.DatagramError:
+            # All fragments are acknowledged, so the caller sends none again.
+            self._finish(state, outcomes.NotRun("body_hash"), now_ms)
+            raise
         state.receiver = None
-        if not self._queue.push(flow.caller_name, state):
-            self._finish(state, outcomes.NotRun("overloaded"), now_ms)
+        self._assembling.pop((flow.flow_key, state.request_id), None)
+        shed = self._queue.push(state.caller, state, now_ms)
+        if shed is not None:
+            self._finish(shed, outcomes.NotRun("overloaded"), now_ms)
+
+    def expire(self, now_ms: int) -> None:
+        """Ends what has passed its deadline or was not sent completely."""
+        timeout_ms = self._limits.assembly_timeout_ms
+        for state in list(self._assembling.values()):
+            if state.deadline_at_ms <= now_ms:
+                self._finish(state, outcomes.NotRun("deadline"), now_ms)
+            elif now_ms - state.progress_ms > timeout_ms:
+                self._finish(state, outcomes.NotRun("incomplete"), now_ms)
+        for state in list(self._queue):
+            if not self._can_meet_deadline(state, now_ms):
+                self._finish(state, outcomes.NotRun("deadline"), now_ms)
+        for state in list(self._runs.values()):
+            if state.outcome is None and state.deadline_at_ms <= now_ms:
+                self._cancel_run(state, "deadline", now_ms)
+        for state in self._replies.expire(now_ms):
+            self._responding.pop((state.flow_key, state.request_id), None)
+
+    def _can_meet_deadline(
+        self, state: flows.RequestState, now_ms: int
+    ) -> bool:
+        """Tells whether even a short request of this caller could finish."""
+        left_ms = state.deadline_at_ms - now_ms
+        return left_ms > 0 and left_ms >= self._queue.least_ms(state.caller)
 
     # Running.
 
     def start_runs(self, now_ms: int) -> None:
         """Starts waiting requests while admission allows it."""
         while self.admission.may_start(now_ms):
-            state = self._queue.pop()
+            state = self._queue.pop(now_ms)
             if state is None:
                 return
-            if state.outcome is not None:
-                continue
-            if state.deadline_at_ms <= now_ms:
+            if not self._can_meet_deadline(state, now_ms):
                 self._finish(state, outcomes.NotRun("deadline"), now_ms)
                 continue
             self._start_run(state, now_ms)
 
     def _start_run(self, state: flows.RequestState, now_ms: int) -> None:
-        flow = self._flows.get(state.flow_key)
-        if flow is None:
-            return
         state.run_id = self._next_run_id
         state.started_ms = now_ms
         self._next_run_id += 1
         self._runs[state.run_id] = state
+        self._release(state)
+        self._queue.started(state.caller, now_ms)
         self.admission.started(now_ms)
         self._out.add(
             actions.StartRun(
                 run_id=state.run_id,
                 request_id=state.request_id,
-                caller=flow.caller_name,
+                caller=state.caller,
                 method=state.method,
                 path=state.path,
                 body=state.body,
@@ -178,11 +262,25 @@
         state = self._runs.pop(run_id, None)
         if state is None:
             return
+        assert state.started_ms is not None
+        duration_ms = now_ms - state.started_ms
+        cancelled = state.outcome is not None
+        median_ms = self._queue.median_ms(state.caller)
         self.admission.finished(
             now_ms,
-            duration_ms=now_ms - (state.started_ms or now_ms),
+            duration_ms=duration_ms,
             shed=shed,
-            failed=failed,
+            failed=failed and not cancelled,
+            cancelled=cancelled,
+            expected_ms=median_ms,
+        )
+        # A cancelled request has cost at least what it took until then.
+        answered = isinstance(outcome, outcomes.Answered) and not cancelled
+        learn = answered or (
+            cancelled and (median_ms is None or duration_ms > median_ms)
+        )
+        self._queue.finished(
+            state.caller, state.started_ms, now_ms, learn=learn
         )
         if state.outcome is None:
             self._finish(state, outcome, now_ms)
@@ -192,25 +290,56 @@
     ) -> None:
         """Ends a request that its caller no longer wants."""
         state = flow.requests.get(cancel.request_id)
-        if state is None or state.outcome is not None:
+        if state is None:
+            if cancel.request_id <= flow.forgotten_id:
+                return
+            # The cancellation has overtaken the request.
+            state = flows.RequestState(
+                request_id=cancel.request_id,
+                flow_key=flow.flow_key,
+                method="",
+                path="",
+                idempotent=False,
+                deadline_at_ms=now_ms,
+                receiver=None,
+            )
+            self._insert(flow, state)
+        if state.outcome is not None:
             return
         if state.run_id is None:
             self._finish(state, outcomes.NotRun("cancelled"), now_ms)
             return
+        self._cancel_run(state, "cancelled", now_ms)
+
+    def _cancel_run(
+        self, state: flows.RequestState, reason: str, now_ms: int
+    ) -> None:
+        assert state.run_id is not None
         self._out.add(actions.CancelRun(state.run_id))
-        self._finish(state, outcomes.Unknown("cancelled"), now_ms)
+        self._finish(state, outcomes.Unknown(reason), now_ms)
 
     def refuse_unstarted(self, flow: flows.Flow, now_ms: int) -> None:
         """Refuses the requests of a flow that have not been started."""
-        for state in flow.requests.values():
+        for state in list(flow.requests.values()):
             if state.outcome is None and state.run_id is None:
                 self._finish(state, outcomes.NotRun(self.state), now_ms)
 
-    def cancel_all(self, flow: flows.Flow) -> None:
-        """Cancels what still runs for a flow that is being closed."""
-        for state in flow.requests.values():
-            if state.run_id is not None and state.outcome is None:
-                self._out.add(actions.CancelRun(state.run_id))
+    def close_flow(self, flow: flows.Flow) -> None:
+        """Forgets the requests of a flow and cancels those that run.
+
+        The flow must still be in the table. A flow that is opened again under
+        the same key gets none of the old requests.
+        """
+        for state in list(flow.requests.values()):
+            self._release(state)
+            self._queue.remove(state.caller, state)
+            self._replies.remove(state)
+            self._responding.pop((flow.flow_key, state.request_id), None)
+            if state.outcome is None:
+                state.outcome = outcomes.Unknown("closed")
+                if state.run_id is not None:
+                    self._out.add(actions.CancelRun(state.run_id))
+        flow.requests.clear()
 
     # Answering.
 
@@ -221,6 +350,9 @@
         now_ms: int,
     ) -> None:
         """Stores the outcome and begins to send it to the caller."""
+        if state.run_id is None:
+            self._release(state)
+            self._queue.remove(state.caller, state)
         state.outcome = outcome
         state.receiver = None
         state.body = b""
@@ -230,8 +362,13 @@
         self._responding[(state.flow_key, state.request_id)] = state
         self._counters[f"requests_{type(outcome).__name__.lower()}"] += 1
         flow = self._flows.get(state.flow_key)
-        if flow is not None:
-            self._send_due(flow, state, now_ms)
+        if flow is None:
+            return
+        flow.unfinished -= 1
+        self._send_due(flow, state, now_ms)
+        for evicted in self._replies.add(flow, state):
+            key = (evicted.flow_key, evicted.request_id)
+            self._responding.pop(key, None)
 
     def on_response_ack(
         self, flow: flows.Flow, ack: messages.FragmentAck
@@ -253,17 +390,6 @@
                 continue
             self._send_due(flow, state, now_ms)
 
-    def evict_replies(self, flow: flows.Flow, now_ms: int) -> None:
-        """Forgets finished requests whose time to live has passed."""
-        for state in list(flow.requests.values()):
-            finished_ms = state.finished_ms
-            if finished_ms is None:
-                continue
-            if now_ms - finished_ms > self._limits.reply_cache_ttl_ms:
-                del flow.requests[state.request_id]
-                flow.forgotten_id = max(flow.forgotten_id, state.request_id)
-                self._responding.pop((flow.flow_key, state.request_id), None)
-
     def _send_due(
         self, flow: flows.Flow, state: flows.RequestState, now_ms: int
     ) -> None:
--- a/sapphirelift/core/transfer.py
+++ b/sapphirelift/core/transfer.py
@@ -96,6 +96,11 @@
         """Whether every fragment has arrived."""
         return self._missing == 0
 
+    @property
+    def missing_count(self) -> int:
+        """Number of fragments that have not arrived."""
+        return self._missing
+
     @property
     def bitmap(self) -> bytes:
         """The fragments received, one bit each."""
--- a/sapphirelift/settings.py
+++ b/sapphirelift/settings.py
@@ -22,7 +22,23 @@
 
 
 class BackendSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The backend server beside an agent."""
+    """The backend server beside an agent.
+
+    Attributes:
+        slots: Requests that the warm backend server runs at once.
+        initial_share: Share of the slots allowed at the start of the ramp,
+            above 0 and at most 1.
+        ramp_ms: Time in milliseconds in which the share rises to 1; 0 for a
+            backend server that is never cold. The share allows a second
+            request at once after about half of it (4 slots), so it should be
+            2.5 times the cold time of the backend server.
+        caller_slot_share: Share of the slots that one caller may hold while
+            others wait.
+        queue_requests: Requests that may wait for a slot.
+        reply_cache_bytes: Bytes of finished requests kept for repetition.
+        reply_cache_ttl_ms: Time in milliseconds for which they are kept.
+        assembly_bytes: Bytes of requests that have not been started.
+    """
 
     ip: str
     port: int
@@ -30,6 +46,13 @@
     slots: int = 4
     max_flows: int = 2000
     weight: float = 1.0
+    initial_share: float = 0.1
+    ramp_ms: int = 8000
+    caller_slot_share: float = 0.5
+    queue_requests: int = 256
+    reply_cache_bytes: int = 16 << 20
+    reply_cache_ttl_ms: int = 30_000
+    assembly_bytes: int = 32 << 20
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -107,3 +130,25 @@
             "settings: `backend` is missing",
             remedy="an agent needs a backend server",
         )
+    if settings.backend is not None:
+        _check_backend(settings.backend)
+
+
+def _check_backend(backend: BackendSettings) -> None:
+    for field in ("slots", "queue_requests", "reply_cache_ttl_ms"):
+        if getattr(backend, field) < 1:
+            raise errors.SettingsError(
+                f"settings: `backend.{field}` is below 1",
+                remedy="set it to 1 or more",
+            )
+    for field in ("initial_share", "caller_slot_share"):
+        if not 0.0 < getattr(backend, field) <= 1.0:
+            raise errors.SettingsError(
+                f"settings: `backend.{field}` is not a share",
+                remedy="set it above 0 and at most 1",
+            )
+    if backend.ramp_ms < 0:
+        raise errors.SettingsError(
+            "settings: `backend.ramp_ms` is negative",
+            remedy="set it to 0 or more milliseconds",
+        )
--- a/sapphirelift/standins/backend_server.py
+++ b/sapphirelift/standins/backend_server.py
@@ -1,45 +1,78 @@
 """Stand-in for a backend server.
 
 ``python -m sapphirelift.standins.backend_server '{"port": 9000}'`` serves
-it. ``GET /runs`` returns a record of every request, by which tests judge.
+it. ``GET /runs`` returns a record of every request, by which tests judge;
+``GET /counters`` returns counters; ``POST /control`` changes its behaviour.
 """
 
 import collections
+import contextlib
+import http.server
 import json
+import socket
 import sys
 import time
-from collections.abc import Callable
-from collections.abc import Iterable
+import urllib.parse
 from typing import Any
 
 import eventlet
-import eventlet.wsgi
 import msgspec
 
-StartResponse = Callable[[str, list[tuple[str, str]]], Any]
-
 
 class BackendOptions(msgspec.Struct, forbid_unknown_fields=True):
     """Behaviour of the stand-in.
 
     Attributes:
-        work_ms: Time that a request takes.
+        work_ms: Time that a request takes, unless its query says otherwise.
+        speed: Factor by which the work is faster.
         slots: Requests beyond this number at once count as overload.
+        max_connections: Connections beyond this number are closed at once.
+        shed_above: Requests beyond this number at once are shed as not run.
+        cold_ms: Time after a start during which the server is cold.
+        cold_slots: Requests that it bears at once while cold.
+        cold_starts_per_s: Requests that it bears in a second while cold.
+        cold_slowdown: Factor by which work takes longer while cold.
+        cold_notice_ms: Time after turning cold by ``/control`` in which
+            overload is not counted: nobody can know of it before the first
+            slow answers.
+        fall_ms: Time without service after an overload while cold.
+        reported_load: What ``/load`` says, whatever the load is.
     """
 
     port: int = 0
     name: str = "backend"
     service: str = ""
     work_ms: float = 5.0
+    speed: float = 1.0
     slots: int = 4
+    max_connections: int = 2000
+    shed_above: int = 1_000_000
+    cold_ms: float = 0.0
+    cold_slots: int = 1
+    cold_starts_per_s: int = 50
+    cold_slowdown: float = 5.0
+    cold_notice_ms: float = 1000.0
+    fall_ms: float = 1000.0
+    reported_load: float = 0.0
+
+
+class Control(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /control``; fields left out change nothing."""
+
+    cold: bool = False
+    drain: bool | None = None
+    fall: bool = False
+    speed: float | None = None
+    shed_above: int | None = None
 
 
-class BackendApp:
-    """WSGI application of the stand-in.
+class Backend:
+    """State of the stand-in.
 
     ``POST /echo`` answers with the body. ``GET /bytes/N`` answers with N
-    bytes. A request named by the ``X-Logical-Id`` header or the path's last
-    part after ``id=`` is recorded under that id.
+    bytes. Query: ``id`` is the logical id in the record (header
+    ``X-Logical-Id`` does the same), ``work_ms`` the work, ``cut=read`` closes
+    the connection after the work, ``cut=partial`` within the answer.
     """
 
     def __init__(self, options: BackendOptions) -> None:
@@ -47,49 +80,209 @@
         self.runs: list[dict[str, Any]] = []
         self.busy = 0
         self.counters: collections.Counter[str] = collections.Counter()
+        self.connections: set[Any] = set()
+        self.draining = False
+        self._cold_until_s = time.monotonic() + options.cold_ms / 1000
+        self._notice_until_s = 0.0
+        self._down_until_s = 0.0
+        self._starts: collections.deque[float] = collections.deque()
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether the server is cold."""
+        return time.monotonic() < self._cold_until_s
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the server has fallen over."""
+        return time.monotonic() < self._down_until_s
+
+    def control(self, change: Control) -> None:
+        """Changes the behaviour."""
+        now_s = time.monotonic()
+        if change.cold:
+            self._cold_until_s = now_s + self.options.cold_ms / 1000
+            self._notice_until_s = now_s + self.options.cold_notice_ms / 1000
+        if change.fall:
+            self.fall()
+        if change.drain is not None:
+            self.draining = change.drain
+        self.options.speed = change.speed or self.options.speed
+        if change.shed_above is not None:
+            self.options.shed_above = change.shed_above
+
+    def fall(self) -> None:
+        """Closes all connections and stays cold and closed for a while."""
+        self.counters["falls"] += 1
+        now_s = time.monotonic()
+        self._down_until_s = now_s + self.options.fall_ms / 1000
+        self._cold_until_s = self._down_until_s + self.options.cold_ms / 1000
+        for connection in list(self.connections):
+            shut_down(connection)
+
+    def admit(self) -> None:
+        """Counts a start and checks whether the server bears it."""
+        now_s = time.monotonic()
+        self.busy += 1
+        self.counters["runs"] += 1
+        self.counters["overload"] += self.busy > self.options.slots
+        self._starts.append(now_s)
+        while self._starts[0] < now_s - 1.0:
+            self._starts.popleft()
+        if not self.is_cold or now_s < self._notice_until_s:
+            return
+        if self.busy > self.options.cold_slots or (
+            len(self._starts) > self.options.cold_starts_per_s
+        ):
+            self.counters["cold_overload"] += 1
+            self.fall()
+
+    def work_s(self, work_ms: float) -> float:
+        """Returns how long a piece of work takes now."""
+        slowdown = self.options.cold_slowdown if self.is_cold else 1.0
+        return work_ms * slowdown / self.options.speed / 1000
+
+
+def shut_down(connection: Any) -> None:
+    """Ends a connection in both directions."""
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
 
-    def __call__(
-        self, environ: dict[str, Any], start_response: StartResponse
-    ) -> Iterable[bytes]:
-        """Answers one request."""
-        path = environ["PATH_INFO"]
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        body = environ["wsgi.input"].read(length) if length else b""
-        if path == "/runs":
-            start_response("200 OK", [("Content-Type", "application/json")])
-            return [json.dumps(self.runs).encode()]
-        answer = self._run(environ, path, body)
-        start_response("200 OK", [("X-Backend", self.options.name)])
-        return [answer]
-
-    def _run(self, environ: dict[str, Any], path: str, body: bytes) -> bytes:
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    """One connection."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = -1
+    backend: Backend
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """Logs nothing."""
+
+    def do_GET(self) -> None:  # noqa: N802
+        """Answers a request of any method."""
+        path, _, query = self.path.partition("?")
+        length = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(length)
+        backend = self.backend
+        match path:
+            case "/runs":
+                self._answer(json.dumps(backend.runs).encode())
+            case "/counters":
+                self._answer(json.dumps(backend.counters).encode())
+            case "/health":
+                self._answer(b'{"status": "ok"}')
+            case "/load":
+                load = {"load": backend.options.reported_load}
+                self._answer(json.dumps(load).encode())
+            case "/control":
+                backend.control(msgspec.json.decode(body, type=Control))
+                self._answer(b"{}")
+            case _ if len(body) < length:
+                self.close_connection = True
+            case _ if (
+                backend.draining or backend.busy >= backend.options.shed_above
+            ):
+                backend.counters["shed"] += 1
+                self._answer(b"", status=503, headers={"X-Not-Run": "1"})
+            case _:
+                self._run(path, query, body)
+
+    do_POST = do_PUT = do_DELETE = do_GET  # noqa: N815
+
+    def _run(self, path: str, query: str, body: bytes) -> None:
+        backend = self.backend
+        values = dict(urllib.parse.parse_qsl(query))
         record = {
+            "id": values.get("id") or self.headers.get("X-Logical-Id", ""),
             "path": path,
-            "query": environ.get("QUERY_STRING", ""),
-            "caller": environ.get("HTTP_X_CALLER", ""),
-            "request_id": environ.get("HTTP_X_REQUEST_ID", ""),
+            "query": query,
+            "caller": self.headers.get("X-Caller", ""),
+            "request_id": self.headers.get("X-Request-Id", ""),
             "started_s": time.time(),
+            "ended_s": None,
+            "end": "running",
         }
-        self.runs.append(record)
-        self.busy += 1
-        if self.busy > self.options.slots:
-            self.counters["overload"] += 1
+        backend.runs.append(record)
+        backend.admit()
         try:
-            eventlet.sleep(self.options.work_ms / 1000)
+            work_ms = float(values.get("work_ms", backend.options.work_ms))
+            client_stayed = self._work(backend.work_s(work_ms))
         finally:
-            self.busy -= 1
+            backend.busy -= 1
+        record["ended_s"] = time.time()
+        record["end"] = "completed" if client_stayed else "cut"
+        if not client_stayed:
+            backend.counters["client_gone"] += 1
+        if not client_stayed or values.get("cut") == "read":
+            self.close_connection = True
+            return
         if path.startswith("/bytes/"):
             count = int(path.removeprefix("/bytes/"))
-            return (self.options.name.encode() * (count + 1))[:count]
-        return body
+            body = (backend.options.name.encode() * (count + 1))[:count]
+        missing = 10 if values.get("cut") == "partial" else 0
+        self._answer(body, missing=missing)
+
+    def _work(self, duration_s: float) -> bool:
+        """Works; returns False as soon as the client has gone away."""
+        self.connection.settimeout(duration_s)
+        try:
+            return self.connection.recv(1, socket.MSG_PEEK) != b""
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
+        finally:
+            self.connection.settimeout(None)
+
+    def _answer(
+        self,
+        body: bytes,
+        *,
+        status: int = 200,
+        headers: dict[str, str] | None = None,
+        missing: int = 0,
+    ) -> None:
+        self.send_response(status)
+        self.send_header("X-Backend", self.backend.options.name)
+        self.send_header("Content-Length", str(len(body) + missing))
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.end_headers()
+        self.wfile.write(body)
+        self.wfile.flush()
+        self.close_connection = self.close_connection or missing > 0
+
+
+def _serve_connection(
+    handler: type[_Handler], connection: Any, address: tuple[str, int]
+) -> None:
+    connections = handler.backend.connections
+    connections.add(connection)
+    try:
+        handler(connection, address, None)  # type: ignore[arg-type]
+    except OSError:
+        pass
+    finally:
+        connections.discard(connection)
+        shut_down(connection)
+        connection.close()
 
 
 def serve(options: BackendOptions) -> None:
     """Serves the stand-in on a loopback port."""
-    listener = eventlet.listen(("127.0.0.1", options.port))
-    eventlet.wsgi.server(
-        listener, BackendApp(options), log_output=False, max_size=10_000
-    )
+    backend = Backend(options)
+    handler = type("Handler", (_Handler,), {"backend": backend})
+    listener = eventlet.listen(("127.0.0.1", options.port), backlog=1024)
+    while True:
+        connection, address = listener.accept()
+        full = len(backend.connections) >= options.max_connections
+        if backend.is_down or full:
+            backend.counters["connections_closed"] += 1
+            connection.close()
+        else:
+            eventlet.spawn_n(_serve_connection, handler, connection, address)
 
 
 if __name__ == "__main__":
