Hold expensive callers to a share that spares the p99 of the others

Cause: with 2 slots a slow caller that always held one slot raised the p99 of the others from 10 to 17 ms (2 others) and from 19 to 39 ms (16 others) in the queue simulation of tests/test_fairness.py. A pause by fair share alone was not enough: p99 is set by the 1% of requests that meet a long one. The queue now counts how many requests of the others were delayed while an expensive one ran and pauses the expensive caller above 0.7%, down to 5% of one slot's time.

--- a/sapphirelift/core/fairness.py
+++ b/sapphirelift/core/fairness.py
@@ -26,10 +26,20 @@
 PRESENCE_MS = 1000
 EXPENSIVE_RATIO = 8.0
 # An expensive caller keeps at least this share of one slot's time.
-MIN_DUTY = 0.2
+MIN_DUTY = 0.05
+# The bound on the others is on their p99, so fewer than 1% may be delayed.
+MAX_DELAYED_SHARE = 0.007
+DELAY_RATIO = 0.4
+DELAY_WINDOW_REQUESTS = 1000
 SURVEY_MS = 50
 
 
+@dataclasses.dataclass(slots=True)
+class _Waiting(Generic[_T]):
+    item: _T
+    pushed_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class _Run:
     started_ms: int
@@ -38,7 +48,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Caller(Generic[_T]):
-    waiting: collections.deque[_T] = dataclasses.field(
+    waiting: collections.deque[_Waiting[_T]] = dataclasses.field(
         default_factory=collections.deque
     )
     running: list[_Run] = dataclasses.field(default_factory=list)
@@ -48,6 +58,7 @@
     deficit_ms: float = 0.0
     active_ms: int = 0
     paused_until_ms: float = 0.0
+    delayed_until_ms: float = 0.0
 
     def cost_ms(self, now_ms: int) -> float:
         """Estimated work of the next request.
@@ -69,7 +80,8 @@
     longer than those of the others, or whose cost is not known yet, is held
     to its share already while others are present. An expensive caller also
     pauses after a request, so that it uses no more than its fair share of the
-    time; else the others would have a slot less at all times.
+    time, and longer if its requests have delayed too many of the others: with
+    2 slots the others would else have one slot less most of the time.
     """
 
     def __init__(
@@ -93,13 +105,18 @@
         self._survey_ms = -SURVEY_MS
         self._present = 0
         self._typical_ms = UNKNOWN_COST_MS
+        self._running: dict[str, _Caller[_T]] = {}
+        self._expensive_ms = -1
+        self._served = 0.0
+        self._delayed = 0.0
 
     def __len__(self) -> int:
         return self._size
 
     def __iter__(self) -> Iterator[_T]:
         for state in self._waiting.values():
-            yield from state.waiting
+            for waiting in state.waiting:
+                yield waiting.item
 
     def push(self, caller: str, item: _T, now_ms: int) -> _T | None:
         """Adds an item; returns the item that has no room, if any.
@@ -115,9 +132,9 @@
             )
             if len(self._waiting[longest].waiting) <= len(state.waiting) + 1:
                 return item
-            shed = self._waiting[longest].waiting[-1]
+            shed = self._waiting[longest].waiting[-1].item
             self.remove(longest, shed)
-        state.waiting.append(item)
+        state.waiting.append(_Waiting(item, now_ms))
         self._waiting.setdefault(caller, state)
         self._size += 1
         return shed
@@ -140,11 +157,12 @@
         for state in eligible:
             state.deficit_ms += best_rounds * QUANTUM_MS
         state = self._waiting[best_name]
-        item = state.waiting[0]
-        self.remove(best_name, item)
+        waiting = state.waiting[0]
+        self.remove(best_name, waiting.item)
         if best_name in self._waiting:
             self._waiting.move_to_end(best_name)
-        return item
+        self._count_delay(state, waiting.pushed_ms, now_ms)
+        return waiting.item
 
     def remove(self, caller: str, item: _T) -> bool:
         """Removes an item; returns False if it does not wait."""
@@ -152,7 +170,7 @@
         if state is None:
             return False
         for index, waiting in enumerate(state.waiting):
-            if waiting is item:
+            if waiting.item is item:
                 del state.waiting[index]
                 break
         else:
@@ -170,6 +188,7 @@
         if not state.waiting:
             state.deficit_ms = min(state.deficit_ms, 0.0)
         state.running.append(_Run(now_ms, cost_ms))
+        self._running[caller] = state
 
     def finished(
         self, caller: str, started_ms: int, now_ms: int, *, learn: bool = True
@@ -190,11 +209,15 @@
                 debt_ms = duration_ms - run.charged_ms
                 state.deficit_ms = max(state.deficit_ms - debt_ms, -MAX_DEBT_MS)
                 break
+        if not state.running:
+            self._running.pop(caller, None)
         if learn:
             state.durations.append(duration_ms)
         if self._is_expensive(state, now_ms):
+            self._expensive_ms = now_ms
             share = min(1.0, max(MIN_DUTY, self._slots / self._present))
             state.paused_until_ms = now_ms + duration_ms * (1.0 / share - 1.0)
+            state.delayed_until_ms = now_ms + duration_ms / MIN_DUTY
 
     def median_ms(self, caller: str) -> float | None:
         """Returns the long-run duration of a caller's requests, if known."""
@@ -250,12 +273,35 @@
             state.cost_ms(now_ms) > EXPENSIVE_RATIO * self._typical_ms
         )
 
+    def _count_delay(
+        self, state: _Caller[_T], pushed_ms: int, now_ms: int
+    ) -> None:
+        """Counts a request that waited while an expensive one ran."""
+        if self._is_expensive(state, now_ms):
+            return
+        if any(
+            self._is_expensive(other, now_ms)
+            for other in self._running.values()
+        ):
+            self._expensive_ms = now_ms
+        self._served += 1.0
+        waited_ms = now_ms - pushed_ms
+        if self._expensive_ms >= pushed_ms and (
+            waited_ms > DELAY_RATIO * state.cost_ms(now_ms)
+        ):
+            self._delayed += 1.0
+        if self._served > DELAY_WINDOW_REQUESTS:
+            self._served /= 2
+            self._delayed /= 2
+
     def _may_start(self, name: str, state: _Caller[_T], now_ms: int) -> bool:
         self._survey(now_ms)
         running = len(state.running)
         if self._is_expensive(state, now_ms):
             fair_slots = self._slots // self._present
             cap = max(1, min(self._shared_cap, fair_slots))
+            if self._delayed > MAX_DELAYED_SHARE * self._served:
+                return running < 1 and now_ms >= state.delayed_until_ms
             return running < cap and now_ms >= state.paused_until_ms
         if self._present > 1 and not state.durations:
             return running < 1
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -27,6 +27,8 @@
         for number in range(others)
     ]
     events += [(0, 100 + n, "arrive", "slow", 0) for n in range(slow)]
+    # The agent looks at the queue every 20 ms.
+    events.append((0, 0, "tick", "", 0))
     heapq.heapify(events)
     latencies, busy, order = [], 0, 1000
     while events and events[0][0] < 300_000:
@@ -52,11 +54,8 @@
             heapq.heappush(events, (end_ms, order, "finish", name, now_ms))
             if name != "slow" and now_ms > 10_000:
                 latencies.append(end_ms - arrived_ms)
-        if kind == "tick" or slow:
-            # The agent looks at the queue every 20 ms.
-            if kind == "tick" or not any(e[2] == "tick" for e in events):
-                tick = (now_ms + 20, order, "tick", "", 0)
-                heapq.heappush(events, tick)
+        if kind == "tick":
+            heapq.heappush(events, (now_ms + 20, order, "tick", "", 0))
     latencies.sort()
     return latencies[int(len(latencies) * 0.99)]
 
@@ -65,8 +64,88 @@
     """Shares of the slots and bounds."""
 
     @pytest.mark.parametrize("slots", [2, 4])
-    def test_slow_caller_does_not_raise_p99_of_others(self, slots: int) -> None:
+    @pytest.mark.parametrize("others", [2, 4, 8, 16])
+    def test_slow_caller_does_not_raise_p99_of_others(
+        self, slots: int, others: int
+    ) -> None:
         """Guards against long requests that hold the slots of the others."""
-        alone_ms = simulate_p99_ms(slots=slots, slow=0)
-        beside_ms = simulate_p99_ms(slots=slots, slow=8)
+        alone_ms = simulate_p99_ms(slots=slots, slow=0, others=others)
+        beside_ms = simulate_p99_ms(slots=slots, slow=8, others=others)
         assert beside_ms <= 1.5 * alone_ms
+
+    def test_time_and_not_number_is_shared(self) -> None:
+        """Guards against a turn per request, whatever the request costs."""
+        queue = fairness.FairQueue[str](capacity=500, slots=1)
+        cost_ms = {"short": 10, "long": 30}
+        used_ms = {"short": 0, "long": 0}
+        for name in [*cost_ms] * 200:
+            queue.push(name, name + "", 0)
+        now_ms = 0
+        while now_ms < 3000:
+            name = queue.pop(now_ms)
+            assert name is not None
+            queue.started(name, now_ms)
+            now_ms += cost_ms[name]
+            used_ms[name] += cost_ms[name]
+            queue.finished(name, now_ms - cost_ms[name], now_ms)
+        assert abs(used_ms["short"] - used_ms["long"]) <= 120
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(
+        slots=st.integers(1, 4),
+        steps=st.lists(
+            st.tuples(
+                st.sampled_from(["push", "push", "pop", "finish", "drop"]),
+                st.integers(0, 3),
+                st.integers(0, 300),
+            ),
+            max_size=80,
+        ),
+    )
+    def test_items_come_out_once_and_caps_hold(
+        self, slots: int, steps: list[tuple[str, int, int]]
+    ) -> None:
+        """Guards against lost or repeated items and unbounded growth."""
+        queue = fairness.FairQueue[list[str]](capacity=6, slots=slots)
+        waiting: list[list[str]] = []
+        running: list[tuple[str, int]] = []
+        now_ms = 0
+
+        def take() -> bool:
+            item = queue.pop(now_ms)
+            if item is None:
+                return False
+            waiting.remove(item)
+            held = [name for name, _ in running].count(item[0])
+            others_wait = any(other[0] != item[0] for other in waiting)
+            share = max(1, slots // 2) if others_wait else slots
+            assert held + 1 <= share
+            queue.started(item[0], now_ms)
+            running.append((item[0], now_ms))
+            return True
+
+        for number, (step, which, passed_ms) in enumerate(steps):
+            now_ms += passed_ms
+            name = f"caller-{which}"
+            if step == "push":
+                item = [name, str(number)]
+                waiting.append(item)
+                shed = queue.push(name, item, now_ms)
+                if shed is not None:
+                    waiting.remove(shed)
+            elif step == "pop" and len(running) < slots:
+                take()
+            elif step == "finish" and running:
+                caller, started_ms = running.pop(which % len(running))
+                queue.finished(caller, started_ms, now_ms)
+            elif step == "drop" and waiting:
+                item = waiting.pop(which % len(waiting))
+                assert queue.remove(item[0], item)
+            assert len(queue) == len(waiting) <= 6
+        for caller, started_ms in running:
+            queue.finished(caller, started_ms, now_ms)
+        running.clear()
+        while waiting:
+            now_ms += 3_600_000
+            assert take()
+            queue.finished(running.pop()[0], now_ms, now_ms + 1)
