Balance flows and requests between the agents of one service

Agents report their load to up to 8 sampled peers. An OPEN moves to a clearly less loaded candidate once, and a request that has not started may run at a less loaded peer (RUN, RUN_ACK, RUN_RESULT, RUN_RESULT_ACK, and the new RUN_CANCEL, without which a cancellation could not be passed on).

Cause: with requests bound to the agent of their flow, unevenly busy flows load the backend servers unevenly.

--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -39,6 +39,8 @@
                 slots=backend.slots, max_flows=backend.max_flows
             ),
             ring=self.ring,
+            members=self.members,
+            rng=self.rng,
         )
         self._backend = backend_client.BackendClient(
             messages.Address(backend.ip, backend.port), slots=backend.slots
@@ -64,7 +66,11 @@
         self._events.put(agent.Drain())
         with eventlet.Timeout(self.settings.stop_timeout_ms / 1000, False):
             eventlet.sleep(TICK_S)
-            while self.core.flows or self.core.requests.running:
+            while (
+                self.core.flows
+                or self.core.requests.running
+                or self.core.balance.pending
+            ):
                 eventlet.sleep(TICK_S)
             eventlet.sleep(FINAL_RESPONSES_S)
 
@@ -81,7 +87,12 @@
             "flows": len(self.core.flows),
             "running": self.core.requests.running,
             "queued": self.core.requests.queued,
+            "utilisation": self.core.balance.utilisation(clock.now_ms()),
             "withdrawn": self.core.withdrawn,
+            "load_peers": [
+                peer.report.name
+                for peer in self.core.balance.table.usable(clock.now_ms())
+            ],
         }
 
     def on_peer_datagram(
--- a/sapphirelift/core/agent.py
+++ b/sapphirelift/core/agent.py
@@ -5,15 +5,18 @@
 
 import collections
 import dataclasses
+import random
 from typing import NamedTuple
 
 from sapphirelift import errors
 from sapphirelift import messages
 from sapphirelift import wire
 from sapphirelift.core import actions
+from sapphirelift.core import balance
 from sapphirelift.core import flows
 from sapphirelift.core import keys
 from sapphirelift.core import limits as limits_module
+from sapphirelift.core import load
 from sapphirelift.core import membership
 from sapphirelift.core import outbox
 from sapphirelift.core import outcomes
@@ -83,6 +86,8 @@
         *,
         limits: limits_module.AgentLimits,
         ring: keys.KeyRing,
+        members: membership.Membership | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         self.identity = identity
         self.limits = limits
@@ -98,6 +103,22 @@
             out=self._out,
             counters=self.counters,
         )
+        self.balance = balance.Balance(
+            balance.Identity(
+                identity.name,
+                identity.service,
+                identity.address,
+                identity.incarnation,
+            ),
+            members=members or membership.Membership(),
+            rng=rng or random.Random(identity.incarnation),
+            out=self._out,
+            counters=self.counters,
+            local=self.requests,
+            slots=limits.slots,
+            own=self._own_load,
+            refusal=lambda: "" if self._is_serving() else self._refusal(),
+        )
         self._next_serial = 1
         self._service_id = keys.service_id(identity.service)
         self._sweep_ms = 0
@@ -121,10 +142,11 @@
                 case Drain():
                     self._on_drain(now_ms)
                 case Withdraw(out=out):
-                    self._on_withdraw(out)
+                    self._on_withdraw(out, now_ms)
         except errors.DatagramError as error:
             self.counters[f"dropped_{error.reason}"] += 1
         self.requests.start_runs(now_ms)
+        self.balance.observe(now_ms)
         return self._out.take()
 
     # Datagrams.
@@ -138,9 +160,31 @@
                 )
             case _Kind.OPEN_FORWARD:
                 self._on_open(wire.decode_body(event.kind, event.body), now_ms)
+            case (
+                _Kind.LOAD
+                | _Kind.RUN
+                | _Kind.RUN_ACK
+                | _Kind.RUN_RESULT
+                | _Kind.RUN_RESULT_ACK
+                | _Kind.RUN_CANCEL
+            ):
+                self.balance.on_datagram(
+                    event.kind, event.body, event.sender, now_ms
+                )
             case _:
                 raise errors.DatagramError("unexpected_kind")
 
+    def _own_load(self, now_ms: int, utilisation: float) -> load.Own:
+        return load.Own(
+            state=self.state if not self.withdrawn else "withdrawn",
+            busy=self.requests.running,
+            limit=self.requests.admission.limit(now_ms),
+            queued=self.requests.queued,
+            utilisation=utilisation,
+            flows=len(self.flows),
+            slots=self.limits.slots,
+        )
+
     def _on_open(self, forward: messages.OpenForward, now_ms: int) -> None:
         datagram = wire.decode_caller(forward.datagram)
         if datagram.kind != _Kind.OPEN:
@@ -148,9 +192,14 @@
         if datagram.body.service != self.identity.service:
             raise errors.DatagramError("wrong_service")
         flow = self.flows.get(datagram.flow_key)
-        if flow is None and not self._may_accept():
-            self._pass_on(forward, datagram)
-            return
+        if flow is None:
+            # An OPEN that has been handed on is not moved for balance again.
+            better = None
+            if self._may_accept() and forward.hops == 0:
+                better = self.balance.place_flow(forward.candidates, now_ms)
+            if better is not None or not self._may_accept():
+                self._pass_on(forward, datagram, better)
+                return
         if flow is None:
             flow = self._accept(datagram, forward, now_ms)
         accept = messages.Accept(
@@ -160,11 +209,10 @@
         self._out.reply(flow, _Kind.ACCEPT, accept)
 
     def _may_accept(self) -> bool:
-        return (
-            self.state == membership.UP
-            and not self.withdrawn
-            and len(self.flows) < self.limits.max_flows
-        )
+        return self._is_serving() and len(self.flows) < self.limits.max_flows
+
+    def _is_serving(self) -> bool:
+        return self.state == membership.UP and not self.withdrawn
 
     def _accept(
         self,
@@ -198,30 +246,31 @@
         return flow
 
     def _pass_on(
-        self, forward: messages.OpenForward, datagram: wire.CallerDatagram
+        self,
+        forward: messages.OpenForward,
+        datagram: wire.CallerDatagram,
+        preferred: messages.Address | None = None,
     ) -> None:
-        """Hands an OPEN to its next candidate, or refuses it."""
+        """Hands an OPEN to a candidate, or refuses it if none is left."""
         remaining = [
             address
             for address in forward.candidates
             if address != self.identity.address
         ]
         if not remaining:
-            refuse = messages.Refuse(
-                reason=self._refusal_reason(), retry_after_ms=200
-            )
+            refuse = messages.Refuse(reason=self._refusal(), retry_after_ms=200)
             data = wire.encode_caller(_Kind.REFUSE, datagram.flow_key, refuse)
             self._out.relay(forward.balancer, forward.caller, data)
             self.counters["flows_refused"] += 1
             return
-        onward = forward._replace(
-            hops=forward.hops + 1, candidates=remaining[1:]
-        )
+        chosen = preferred or remaining[0]
+        remaining.remove(chosen)
+        onward = forward._replace(hops=forward.hops + 1, candidates=remaining)
         body = wire.encode_body(onward)
-        self._out.send_peer(remaining[0], _Kind.OPEN_FORWARD, body)
+        self._out.send_peer(chosen, _Kind.OPEN_FORWARD, body)
         self.counters["flows_handed_on"] += 1
 
-    def _refusal_reason(self) -> str:
+    def _refusal(self) -> str:
         if self.withdrawn:
             return "data_centre_withdrawn"
         if self.state != membership.UP:
@@ -254,7 +303,7 @@
                     flow, _Kind.PONG, messages.Pong(datagram.body.sequence)
                 )
             case _Kind.CLOSE:
-                self._close(flow)
+                self._close(flow, now_ms)
             case _:
                 raise errors.DatagramError("unexpected_kind")
 
@@ -286,6 +335,7 @@
 
     def _on_tick(self, now_ms: int) -> None:
         self.requests.send_responses(now_ms)
+        self.balance.tick(now_ms)
         if now_ms >= self._sweep_ms:
             self._sweep_ms = now_ms + 250
             self._sweep(now_ms)
@@ -293,7 +343,7 @@
     def _sweep(self, now_ms: int) -> None:
         for flow in list(self.flows.values()):
             if now_ms - flow.heard_ms > self.limits.flow_idle_timeout_ms:
-                self._close(flow)
+                self._close(flow, now_ms)
                 self.counters["flows_expired"] += 1
                 continue
             self.requests.evict_replies(flow, now_ms)
@@ -317,23 +367,25 @@
             return
         self.state = self.requests.state = membership.DRAINING
         self._out.add(actions.LogState("agent_draining", {}))
+        self.balance.refuse_unstarted(self.state, now_ms)
         for flow in self.flows.values():
             self.requests.refuse_unstarted(flow, now_ms)
             self._send_move(flow, now_ms)
 
-    def _on_withdraw(self, out: bool) -> None:
+    def _on_withdraw(self, out: bool, now_ms: int) -> None:
         if out == self.withdrawn:
             return
         self.withdrawn = out
         self._out.add(actions.LogState("data_centre_withdrawn", {"out": out}))
         if not out:
             return
+        self.balance.refuse_unstarted(self._refusal(), now_ms)
         for flow in list(self.flows.values()):
             reset = messages.Reset("data_centre_withdrawn")
             self._out.reply(flow, _Kind.RESET, reset)
-            self._close(flow)
+            self._close(flow, now_ms)
 
-    def _close(self, flow: flows.Flow) -> None:
+    def _close(self, flow: flows.Flow, now_ms: int) -> None:
         """Forgets a flow and cancels what still runs for it."""
         del self.flows[flow.flow_key]
-        self.requests.cancel_all(flow)
+        self.requests.cancel_all(flow, now_ms)
--- /dev/null
+++ b/sapphirelift/core/balance.py
@@ -0,0 +1,163 @@
+"""Fair load between the agents of one service: reports and transfers."""
+
+import collections
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from sapphirelift import messages
+from sapphirelift import wire
+from sapphirelift.core import flows
+from sapphirelift.core import incoming_runs
+from sapphirelift.core import load
+from sapphirelift.core import membership
+from sapphirelift.core import outbox
+from sapphirelift.core import outcomes
+from sapphirelift.core import outgoing_runs
+from sapphirelift.core import requests
+
+_Kind = messages.Kind
+
+
+class Identity(NamedTuple):
+    """The agent as its peers know it."""
+
+    name: str
+    service: str
+    address: messages.Address
+    incarnation: int
+
+
+class Balance:
+    """Compares this agent with its peers and moves requests to them."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        *,
+        members: membership.Membership,
+        rng: random.Random,
+        out: outbox.Outbox,
+        counters: collections.Counter[str],
+        local: requests.Requests,
+        slots: int,
+        own: Callable[[int, float], load.Own],
+        refusal: Callable[[], str],
+    ) -> None:
+        name, service, address, incarnation = identity
+        self._out = out
+        self._counters = counters
+        self._local = local
+        self._own = own
+        self._meter = load.Meter(slots=slots)
+        self.table = load.LoadTable(
+            name=name, service=service, members=members, rng=rng
+        )
+        self._reporter = load.Reporter(
+            name=name,
+            service=service,
+            address=address,
+            incarnation=incarnation,
+            members=members,
+            rng=rng,
+        )
+        self._outgoing = outgoing_runs.OutgoingRuns(
+            incarnation=incarnation,
+            out=out,
+            counters=counters,
+            finish=local.finish,
+            enqueue_here=local.enqueue_here,
+        )
+        self._incoming = incoming_runs.IncomingRuns(
+            incarnation=incarnation,
+            out=out,
+            counters=counters,
+            local=local,
+            refusal=refusal,
+        )
+        local.transfers = self
+
+    @property
+    def pending(self) -> int:
+        """Number of transfers in either direction that are not settled."""
+        return len(self._outgoing) + len(self._incoming)
+
+    def utilisation(self, now_ms: int) -> float:
+        """Returns the smoothed busy share of this agent's slots."""
+        return self._meter.update(self._local.running, now_ms)
+
+    def on_datagram(
+        self, kind: int, body: bytes, sender: messages.Address, now_ms: int
+    ) -> None:
+        """Takes a datagram of a peer.
+
+        Raises:
+            DatagramError: The datagram is malformed or of another kind.
+        """
+        decoded = wire.decode_body(kind, body)
+        match kind:
+            case _Kind.LOAD:
+                if not self.table.apply(decoded, now_ms):
+                    self._counters["load_reports_refused"] += 1
+            case _Kind.RUN:
+                self._incoming.on_run(decoded, sender, now_ms)
+            case _Kind.RUN_CANCEL:
+                self._incoming.on_cancel(decoded, sender, now_ms)
+            case _Kind.RUN_RESULT_ACK:
+                self._incoming.on_result_ack(decoded, sender)
+            case _Kind.RUN_ACK:
+                self._outgoing.on_ack(decoded, sender, now_ms)
+            case _Kind.RUN_RESULT:
+                self._outgoing.on_result(decoded, sender, now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Sends what is due."""
+        self._outgoing.tick(now_ms)
+        self._incoming.tick(now_ms)
+        body, receivers = self._reporter.due(self._own_load(now_ms), now_ms)
+        for address in receivers:
+            self._out.send_peer(address, _Kind.LOAD, body)
+
+    def observe(self, now_ms: int) -> None:
+        """Records how many requests run here from now on."""
+        self._meter.update(self._local.running, now_ms)
+
+    def place_flow(
+        self, candidates: list[messages.Address], now_ms: int
+    ) -> messages.Address | None:
+        """Returns the candidate that should take a flow, None for this one."""
+        own = self._own_load(now_ms)
+        peer = self.table.place_flow(own, candidates, now_ms)
+        return peer.address if peer is not None else None
+
+    def _own_load(self, now_ms: int) -> load.Own:
+        return self._own(now_ms, self.utilisation(now_ms))
+
+    # Transfers, see ``requests.Transfers``.
+
+    def offer(
+        self, flow: flows.Flow, state: flows.RequestState, now_ms: int
+    ) -> bool:
+        """Transfers a waiting request; returns False if it stays here."""
+        own = self._own_load(now_ms)
+        if own.state != membership.UP or not self._outgoing.may_send(state):
+            return False
+        peer = self.table.place_request(own, now_ms)
+        if peer is None:
+            return False
+        self._outgoing.send(flow, state, peer, now_ms)
+        return True
+
+    def cancel(self, state: flows.RequestState, now_ms: int) -> None:
+        """Cancels a transferred request at its peer."""
+        self._outgoing.cancel(state, now_ms)
+
+    def on_finished(
+        self, state: flows.RequestState, outcome: outcomes.Outcome, now_ms: int
+    ) -> None:
+        """Takes the outcome of an incoming run."""
+        self._incoming.on_finished(state, outcome, now_ms)
+
+    def refuse_unstarted(self, reason: str, now_ms: int) -> None:
+        """Refuses the peers' requests that have not been started."""
+        self._incoming.refuse_unstarted(reason, now_ms)
--- a/sapphirelift/core/flows.py
+++ b/sapphirelift/core/flows.py
@@ -15,6 +15,12 @@
         receiver: Collects the request; None once it is complete.
         outcome: The result, None while the request is not finished.
         sender: Sends the response; None while there is none.
+        transfer_id: Run id at the peer while the request is transferred. A
+            peer may have run it, so it counts as started.
+        may_have_run: Whether a silent peer may have run an earlier transfer.
+            The outcome is then never reported as not run.
+        incoming: Key of an incoming run; None for a request of a flow.
+        caller: Name of the caller of an incoming run.
     """
 
     request_id: int
@@ -30,6 +36,10 @@
     outcome: outcomes.Outcome | None = None
     sender: transfer.FragmentSender | None = None
     finished_ms: int | None = None
+    transfer_id: int | None = None
+    may_have_run: bool = False
+    incoming: tuple[messages.Address, int, int] | None = None
+    caller: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/sapphirelift/core/incoming_runs.py
@@ -0,0 +1,297 @@
+"""Requests that this agent runs for the flows of its peers."""
+
+import collections
+import dataclasses
+from collections.abc import Callable
+
+from sapphirelift import errors
+from sapphirelift import messages
+from sapphirelift import wire
+from sapphirelift.core import flows
+from sapphirelift.core import outbox
+from sapphirelift.core import outcomes
+from sapphirelift.core import outgoing_runs
+from sapphirelift.core import requests
+from sapphirelift.core import transfer
+
+_Kind = messages.Kind
+
+MAX_ACTIVE = 512
+MAX_KEPT = 8192
+MAX_OWNERS = 4096
+MAX_HELD_BYTES = 32 << 20
+# Longer than any datagram is assumed to stay in the network.
+KEEP_MS = 60_000
+# A result that is not acknowledged this long after the deadline is dropped.
+RESULT_AFTER_DEADLINE_MS = 2000
+MAX_FRAGMENTS = -(-outgoing_runs.MAX_BODY_BYTES // transfer.FRAGMENT_BYTES)
+
+_RunKey = tuple[messages.Address, int, int]
+_OwnerKey = tuple[messages.Address, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Run:
+    """A run of a peer, from its first datagram until it is forgotten."""
+
+    state: flows.RequestState
+    held_bytes: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Owner:
+    """What is known of an owner after its run ids have been forgotten."""
+
+    forgotten_id: int
+    heard_ms: int
+
+
+class IncomingRuns:
+    """Receives, remembers and answers the runs of peers.
+
+    A run id is started at most once. It is remembered for ``KEEP_MS`` after
+    it has ended; an id at or below the highest forgotten id of its owner is
+    answered as unknown and never run.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: int,
+        out: outbox.Outbox,
+        counters: collections.Counter[str],
+        local: requests.Requests,
+        refusal: Callable[[], str],
+    ) -> None:
+        self._incarnation = incarnation
+        self._out = out
+        self._counters = counters
+        self._local = local
+        self._refusal = refusal
+        self._runs: dict[_RunKey, _Run] = {}
+        self._active: set[_RunKey] = set()
+        self._responding: set[_RunKey] = set()
+        # Ended runs in the order in which they ended.
+        self._ended: collections.OrderedDict[_RunKey, None] = (
+            collections.OrderedDict()
+        )
+        self._owners: dict[_OwnerKey, _Owner] = {}
+        self._held_bytes = 0
+
+    def __len__(self) -> int:
+        """Number of runs that have not ended or not been answered."""
+        return len(self._active) + len(self._responding)
+
+    def on_run(
+        self, body: messages.Run, sender: messages.Address, now_ms: int
+    ) -> None:
+        """Takes one fragment of a transferred request.
+
+        Raises:
+            DatagramError: The fragment does not fit the request or a bound.
+        """
+        key = (sender, body.owner_incarnation, body.run_id)
+        run = self._runs.get(key) or self._add(key, body, now_ms)
+        if run is None:
+            return
+        state = run.state
+        if state.outcome is not None:
+            self._send_result(key, run, 0)
+            return
+        bitmap = b"\xff" * ((body.fragment_count + 7) // 8)
+        if state.receiver is not None:
+            before = state.receiver.bitmap
+            state.receiver.add(
+                index=body.fragment_index,
+                count=body.fragment_count,
+                expected_hash=body.body_hash,
+                payload=body.payload,
+            )
+            bitmap = state.receiver.bitmap
+            if bitmap != before:
+                self._hold(run, len(body.payload))
+        ack = messages.RunAck(body.owner_incarnation, body.run_id, bitmap)
+        self._out.send_peer(sender, _Kind.RUN_ACK, wire.encode_body(ack))
+        if state.receiver is not None and state.receiver.is_complete:
+            state.body = state.receiver.body()
+            state.receiver = None
+            self._local.enqueue_here(state.caller, state, now_ms)
+
+    def on_cancel(
+        self, body: messages.RunCancel, sender: messages.Address, now_ms: int
+    ) -> None:
+        """Cancels a run; one that has not arrived yet will not start."""
+        key = (sender, body.owner_incarnation, body.run_id)
+        run = self._runs.get(key)
+        if run is None:
+            unknown = messages.Run(*body, 0, 1, 0, 0, 0, False, "", "", "", b"")
+            run = self._add(key, unknown, now_ms)
+        if run is None:
+            return
+        if run.state.outcome is None:
+            self._local.cancel(run.state, now_ms)
+        else:
+            self._send_result(key, run, 0)
+
+    def on_result_ack(
+        self, ack: messages.RunAck, sender: messages.Address
+    ) -> None:
+        """Takes over which fragments of an outcome the owner has."""
+        key = (sender, ack.owner_incarnation, ack.run_id)
+        run = self._runs.get(key)
+        if run is None or run.state.sender is None:
+            return
+        run.state.sender.acknowledge(ack.bitmap)
+        if run.state.sender.is_done:
+            self._responding.discard(key)
+            self._drop_body(run)
+
+    def on_finished(
+        self, state: flows.RequestState, outcome: outcomes.Outcome, now_ms: int
+    ) -> None:
+        """Takes the outcome of a run and begins to send it."""
+        key = state.incoming
+        assert key is not None
+        body = outcome.body if isinstance(outcome, outcomes.Answered) else b""
+        state.sender = transfer.FragmentSender(body)
+        run = self._runs[key]
+        self._held_bytes -= run.held_bytes
+        run.held_bytes = 0
+        self._hold(run, len(body))
+        self._active.discard(key)
+        self._responding.add(key)
+        self._ended[key] = None
+        self._counters[f"runs_{type(outcome).__name__.lower()}"] += 1
+        self._send_due(key, run, now_ms)
+
+    def refuse_unstarted(self, reason: str, now_ms: int) -> None:
+        """Refuses the runs that have not been started."""
+        for key in list(self._active):
+            state = self._runs[key].state
+            if state.run_id is None:
+                self._local.finish(state, outcomes.NotRun(reason), now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Repeats results, ends late runs and forgets old ones."""
+        for key in list(self._responding):
+            run = self._runs[key]
+            late_ms = now_ms - run.state.deadline_at_ms
+            if late_ms > RESULT_AFTER_DEADLINE_MS:
+                self._responding.discard(key)
+                self._drop_body(run)
+            else:
+                self._send_due(key, run, now_ms)
+        for key in list(self._active):
+            state = self._runs[key].state
+            if state.run_id is None and state.deadline_at_ms <= now_ms:
+                outcome = outcomes.NotRun("deadline")
+                self._local.finish(state, outcome, now_ms)
+        self._forget(now_ms)
+
+    def _add(
+        self, key: _RunKey, body: messages.Run, now_ms: int
+    ) -> _Run | None:
+        """Remembers a new run id; it may be refused at once."""
+        if body.fragment_count > MAX_FRAGMENTS:
+            raise errors.DatagramError("fragment_count")
+        owner = self._owner(key[:2], now_ms)
+        if owner is None:
+            # Without a place to remember the id the request must not run.
+            raise errors.DatagramError("too_many_owners")
+        if len(self._runs) >= MAX_KEPT + MAX_ACTIVE:
+            raise errors.DatagramError("too_many_runs")
+        state = flows.RequestState(
+            request_id=body.request_id,
+            flow_key=b"",
+            method=body.method,
+            path=body.path,
+            idempotent=body.idempotent,
+            deadline_at_ms=now_ms + body.deadline_ms,
+            receiver=transfer.FragmentReceiver(
+                count=body.fragment_count, expected_hash=body.body_hash
+            ),
+            incoming=key,
+            caller=body.caller,
+        )
+        run = self._runs[key] = _Run(state)
+        self._active.add(key)
+        refused = self._refuse_new(body, owner)
+        if refused is not None:
+            self._local.finish(state, refused, now_ms)
+        return run
+
+    def _refuse_new(
+        self, body: messages.Run, owner: _Owner
+    ) -> outcomes.Outcome | None:
+        if body.peer_incarnation != self._incarnation:
+            # An earlier incarnation of this agent may have run it.
+            return outcomes.Unknown("peer_restarted")
+        if body.run_id <= owner.forgotten_id:
+            return outcomes.Unknown("forgotten")
+        if reason := self._refusal():
+            return outcomes.NotRun(reason)
+        if len(self._active) > MAX_ACTIVE or self._held_bytes > MAX_HELD_BYTES:
+            return outcomes.NotRun("overloaded")
+        return None
+
+    def _owner(self, key: _OwnerKey, now_ms: int) -> _Owner | None:
+        owner = self._owners.get(key)
+        if owner is None:
+            if len(self._owners) >= MAX_OWNERS:
+                return None
+            owner = self._owners[key] = _Owner(0, now_ms)
+        owner.heard_ms = now_ms
+        return owner
+
+    def _forget(self, now_ms: int) -> None:
+        while self._ended:
+            key = next(iter(self._ended))
+            finished_ms = self._runs[key].state.finished_ms or 0
+            is_due = now_ms - finished_ms > KEEP_MS
+            if not is_due and len(self._ended) <= MAX_KEPT:
+                break
+            del self._ended[key]
+            self._responding.discard(key)
+            self._drop_body(self._runs.pop(key))
+            owner = self._owners[key[:2]]
+            owner.forgotten_id = max(owner.forgotten_id, key[2])
+        if len(self._owners) >= MAX_OWNERS // 2:
+            used = {key[:2] for key in self._runs}
+            for owner_key, owner in list(self._owners.items()):
+                is_idle = now_ms - owner.heard_ms > 2 * KEEP_MS
+                if is_idle and owner_key not in used:
+                    del self._owners[owner_key]
+
+    def _hold(self, run: _Run, size: int) -> None:
+        run.held_bytes += size
+        self._held_bytes += size
+
+    def _drop_body(self, run: _Run) -> None:
+        """Drops the answer; a later repetition is answered as unknown."""
+        self._held_bytes -= run.held_bytes
+        run.held_bytes = 0
+        if isinstance(run.state.outcome, outcomes.Answered):
+            run.state.outcome = outcomes.Unknown("forgotten")
+            run.state.sender = transfer.FragmentSender(b"")
+
+    def _send_due(self, key: _RunKey, run: _Run, now_ms: int) -> None:
+        assert run.state.sender is not None
+        for index in run.state.sender.due(now_ms):
+            self._send_result(key, run, index)
+
+    def _send_result(self, key: _RunKey, run: _Run, index: int) -> None:
+        sender = run.state.sender
+        assert sender is not None
+        code, status, reason = requests.encode_outcome(run.state.outcome)
+        body = messages.RunResult(
+            owner_incarnation=key[1],
+            run_id=key[2],
+            fragment_index=index,
+            fragment_count=sender.count,
+            body_hash=sender.body_hash,
+            outcome=code,
+            status=status,
+            reason=reason,
+            payload=sender.fragments[index],
+        )
+        self._out.send_peer(key[0], _Kind.RUN_RESULT, wire.encode_body(body))
--- a/sapphirelift/core/requests.py
+++ b/sapphirelift/core/requests.py
@@ -1,6 +1,7 @@
 """Requests of an agent's flows, from their first fragment to eviction."""
 
 import collections
+from typing import Protocol
 
 from sapphirelift import errors
 from sapphirelift import messages
@@ -17,6 +18,26 @@
 _Kind = messages.Kind
 
 
+class Transfers(Protocol):
+    """Requests that run at a peer, and those that run here for a peer."""
+
+    def offer(
+        self, flow: flows.Flow, state: flows.RequestState, now_ms: int
+    ) -> bool:
+        """Transfers a waiting request; returns False if it stays here."""
+
+    def cancel(self, state: flows.RequestState, now_ms: int) -> None:
+        """Cancels a transferred request at its peer."""
+
+    def on_finished(
+        self,
+        state: flows.RequestState,
+        outcome: outcomes.Outcome,
+        now_ms: int,
+    ) -> None:
+        """Takes the outcome of an incoming run."""
+
+
 class Requests:
     """Receives, queues, runs and answers requests.
 
@@ -44,6 +65,7 @@
         self._runs: dict[int, flows.RequestState] = {}
         self._responding: dict[tuple[bytes, int], flows.RequestState] = {}
         self._next_run_id = 1
+        self.transfers: Transfers | None = None
 
     @property
     def running(self) -> int:
@@ -106,9 +128,9 @@
         )
         flow.requests[fragment.request_id] = state
         if fragment.request_id <= flow.forgotten_id:
-            self._finish(state, outcomes.Unknown("forgotten"), now_ms)
+            self.finish(state, outcomes.Unknown("forgotten"), now_ms)
         elif self.state != membership.UP:
-            self._finish(state, outcomes.NotRun(self.state), now_ms)
+            self.finish(state, outcomes.NotRun(self.state), now_ms)
         return state
 
     def _acknowledge(
@@ -125,8 +147,19 @@
         assert state.receiver is not None
         state.body = state.receiver.body()
         state.receiver = None
-        if not self._queue.push(flow.caller_name, state):
-            self._finish(state, outcomes.NotRun("overloaded"), now_ms)
+        if self.transfers is None or not self.transfers.offer(
+            flow, state, now_ms
+        ):
+            self.enqueue_here(flow.caller_name, state, now_ms)
+
+    def enqueue_here(
+        self, caller: str, state: flows.RequestState, now_ms: int
+    ) -> None:
+        """Queues a complete request for this backend server."""
+        if self.state != membership.UP:
+            self.finish(state, outcomes.NotRun(self.state), now_ms)
+        elif not self._queue.push(caller, state):
+            self.finish(state, outcomes.NotRun("overloaded"), now_ms)
 
     # Running.
 
@@ -139,14 +172,15 @@
             if state.outcome is not None:
                 continue
             if state.deadline_at_ms <= now_ms:
-                self._finish(state, outcomes.NotRun("deadline"), now_ms)
+                self.finish(state, outcomes.NotRun("deadline"), now_ms)
                 continue
             self._start_run(state, now_ms)
 
     def _start_run(self, state: flows.RequestState, now_ms: int) -> None:
         flow = self._flows.get(state.flow_key)
-        if flow is None:
+        if flow is None and state.incoming is None:
             return
+        caller = state.caller if flow is None else flow.caller_name
         state.run_id = self._next_run_id
         state.started_ms = now_ms
         self._next_run_id += 1
@@ -156,7 +190,7 @@
             actions.StartRun(
                 run_id=state.run_id,
                 request_id=state.request_id,
-                caller=flow.caller_name,
+                caller=caller,
                 method=state.method,
                 path=state.path,
                 body=state.body,
@@ -185,46 +219,69 @@
             failed=failed,
         )
         if state.outcome is None:
-            self._finish(state, outcome, now_ms)
+            self.finish(state, outcome, now_ms)
 
     def on_cancel(
         self, flow: flows.Flow, cancel: messages.Cancel, now_ms: int
     ) -> None:
         """Ends a request that its caller no longer wants."""
         state = flow.requests.get(cancel.request_id)
-        if state is None or state.outcome is not None:
+        if state is not None:
+            self.cancel(state, now_ms)
+
+    def cancel(self, state: flows.RequestState, now_ms: int) -> None:
+        """Ends a request and cancels its run, wherever it runs."""
+        if state.outcome is not None:
             return
-        if state.run_id is None:
-            self._finish(state, outcomes.NotRun("cancelled"), now_ms)
+        if state.transfer_id is not None:
+            if self.transfers is not None:
+                self.transfers.cancel(state, now_ms)
+        elif state.run_id is None:
+            self.finish(state, outcomes.NotRun("cancelled"), now_ms)
             return
-        self._out.add(actions.CancelRun(state.run_id))
-        self._finish(state, outcomes.Unknown("cancelled"), now_ms)
+        else:
+            self._out.add(actions.CancelRun(state.run_id))
+        self.finish(state, outcomes.Unknown("cancelled"), now_ms)
 
     def refuse_unstarted(self, flow: flows.Flow, now_ms: int) -> None:
         """Refuses the requests of a flow that have not been started."""
         for state in flow.requests.values():
-            if state.outcome is None and state.run_id is None:
-                self._finish(state, outcomes.NotRun(self.state), now_ms)
+            if (
+                state.outcome is None
+                and state.run_id is None
+                and state.transfer_id is None
+            ):
+                self.finish(state, outcomes.NotRun(self.state), now_ms)
 
-    def cancel_all(self, flow: flows.Flow) -> None:
+    def cancel_all(self, flow: flows.Flow, now_ms: int) -> None:
         """Cancels what still runs for a flow that is being closed."""
         for state in flow.requests.values():
-            if state.run_id is not None and state.outcome is None:
+            if state.outcome is not None:
+                continue
+            if state.transfer_id is not None and self.transfers is not None:
+                self.transfers.cancel(state, now_ms)
+            elif state.run_id is not None:
                 self._out.add(actions.CancelRun(state.run_id))
 
     # Answering.
 
-    def _finish(
+    def finish(
         self,
         state: flows.RequestState,
         outcome: outcomes.Outcome,
         now_ms: int,
     ) -> None:
         """Stores the outcome and begins to send it to the caller."""
+        if state.may_have_run and isinstance(outcome, outcomes.NotRun):
+            outcome = outcomes.Unknown(outcome.reason)
         state.outcome = outcome
         state.receiver = None
         state.body = b""
         state.finished_ms = now_ms
+        if state.incoming is not None:
+            if self.transfers is not None:
+                self.transfers.on_finished(state, outcome, now_ms)
+            return
         body = outcome.body if isinstance(outcome, outcomes.Answered) else b""
         state.sender = transfer.FragmentSender(body)
         self._responding[(state.flow_key, state.request_id)] = state
@@ -275,7 +332,7 @@
         self, flow: flows.Flow, state: flows.RequestState, index: int
     ) -> None:
         assert state.sender is not None
-        code, status, reason = _encode_outcome(state.outcome)
+        code, status, reason = encode_outcome(state.outcome)
         response = messages.Response(
             request_id=state.request_id,
             fragment_index=index,
@@ -289,7 +346,7 @@
         self._out.reply(flow, _Kind.RESPONSE, response)
 
 
-def _encode_outcome(
+def encode_outcome(
     outcome: outcomes.Outcome | None,
 ) -> tuple[int, int, str]:
     """Returns code, HTTP status and reason of an outcome."""
--- a/sapphirelift/messages.py
+++ b/sapphirelift/messages.py
@@ -37,6 +37,7 @@
     PLAIN = 42
     PLAIN_RETURN = 43
     PLAIN_OWNED = 44
+    RUN_CANCEL = 45
 
 
 class Address(NamedTuple):
@@ -197,8 +198,9 @@
     """Load report between agents of one service.
 
     ``busy`` is the number of running requests, ``limit`` the current
-    admission limit, ``queued`` the number of waiting requests and
-    ``utilisation`` the smoothed busy share of all slots.
+    admission limit, ``queued`` the number of waiting requests,
+    ``utilisation`` the smoothed busy share of all slots and ``slots`` their
+    number.
     """
 
     name: str
@@ -213,3 +215,57 @@
     queued: int
     utilisation: float
     flows: int
+    slots: int
+
+
+class Run(NamedTuple):
+    """One fragment of a request that its owner transfers to a peer.
+
+    The owner's address, ``owner_incarnation`` and ``run_id`` identify the
+    run; ``run_id`` increases over the transfers of one incarnation. A peer of
+    another incarnation than ``peer_incarnation`` does not run the request.
+    """
+
+    owner_incarnation: int
+    peer_incarnation: int
+    run_id: int
+    fragment_index: int
+    fragment_count: int
+    body_hash: int
+    deadline_ms: int
+    request_id: int
+    idempotent: bool
+    caller: str
+    method: str
+    path: str
+    payload: bytes
+
+
+class RunAck(NamedTuple):
+    """Fragments of RUN or RUN_RESULT received, see ``FragmentAck``."""
+
+    owner_incarnation: int
+    run_id: int
+    bitmap: bytes
+
+
+class RunResult(NamedTuple):
+    """One fragment of the outcome of a transferred request."""
+
+    owner_incarnation: int
+    run_id: int
+    fragment_index: int
+    fragment_count: int
+    body_hash: int
+    outcome: int
+    status: int
+    reason: str
+    payload: bytes
+
+
+class RunCancel(NamedTuple):
+    """Cancels a transferred request; repeated until RUN_RESULT arrives."""
+
+    owner_incarnation: int
+    peer_incarnation: int
+    run_id: int
--- a/sapphirelift/wire.py
+++ b/sapphirelift/wire.py
@@ -20,6 +20,7 @@
 _CALLER_HEADER = struct.Struct(f"!BBBB{FLOW_KEY_BYTES}s{token.TOKEN_BYTES}s")
 _MAC_BYTES = 8
 _PEER_HEADER = struct.Struct(f"!BBBB{_MAC_BYTES}s")
+PEER_HEADER_BYTES = _PEER_HEADER.size
 _FORWARD = struct.Struct("!4sH")
 
 _Kind = messages.Kind
@@ -41,6 +42,11 @@
     _Kind.HEARTBEAT: messages.Heartbeat,
     _Kind.HEARTBEAT_ACK: messages.HeartbeatAck,
     _Kind.LOAD: messages.Load,
+    _Kind.RUN: messages.Run,
+    _Kind.RUN_ACK: messages.RunAck,
+    _Kind.RUN_RESULT: messages.RunResult,
+    _Kind.RUN_RESULT_ACK: messages.RunAck,
+    _Kind.RUN_CANCEL: messages.RunCancel,
 }
 _DECODERS: dict[int, msgspec.msgpack.Decoder[Any]] = {
     int(kind): msgspec.msgpack.Decoder(body) for kind, body in _BODIES.items()
--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,47 @@
+"""Balance through real processes."""
+
+import collections
+
+import eventlet
+
+from sapphirelift.callers import client
+from sapphirelift.core import outcomes
+from tests import processes
+
+SERVICE = "pakkaamo"
+
+
+class TestRequestBalance:
+    """Requests of one flow on several backend servers."""
+
+    def test_busy_flow_is_shared_and_runs_once(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against transfers that do not happen or that run twice."""
+        names = [f"agent-{number}" for number in range(3)]
+        fleet.start_platform()
+        fleet.start_balancer("balancer-1")
+        for name in names:
+            fleet.start_agent(name, service=SERVICE, backend={"work_ms": 100})
+        fleet.wait_ready(agents=3)
+        processes.wait_until(
+            lambda: all(len(fleet.dump(n)["load_peers"]) == 2 for n in names)
+        )
+        caller = client.Caller(list(fleet.public.values()), seed=1)
+        session = caller.open(SERVICE)
+        pool = eventlet.GreenPool()
+        sent = [
+            pool.spawn(
+                session.request, "GET", f"/x?id={number}", idempotent=False
+            )
+            for number in range(40)
+        ]
+        for task in sent:
+            assert isinstance(task.wait(), outcomes.Answered)
+        runs = {name: fleet.runs(name) for name in names}
+        times = collections.Counter(
+            run["query"] for record in runs.values() for run in record
+        )
+        assert times == {f"id={number}": 1 for number in range(40)}
+        assert all(runs.values())
+        caller.close()
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,222 @@
+"""Load reports, their use and the placement of flows and requests."""
+
+import itertools
+import random
+
+from sapphirelift import messages
+from sapphirelift import wire
+from sapphirelift.core import load
+from sapphirelift.core import membership
+
+SERVICE = "pakkaamo"
+NOW_MS = 10_000
+
+
+def own(**values: object) -> load.Own:
+    """Returns the load of an idle agent with some fields changed."""
+    idle = load.Own("up", 0, 4.0, 0, 0.0, 0, 4)
+    return idle._replace(**values)
+
+
+def report(name: str, **values: object) -> messages.Load:
+    """Returns the report of an idle peer with some fields changed."""
+    number = int(name[-1])
+    address = (f"10.0.0.{number}", 4000)
+    idle = messages.Load(name, SERVICE, *address, 5, 1, *own())
+    return idle._replace(**values)
+
+
+def table(*reports: messages.Load, seed: int = 1) -> load.LoadTable:
+    """Returns the table of agent-0 with reports received at ``NOW_MS``."""
+    made = load.LoadTable(
+        name="agent-0",
+        service=SERVICE,
+        members=membership.Membership(),
+        rng=random.Random(seed),
+    )
+    for item in reports:
+        made.apply(item, NOW_MS)
+    return made
+
+
+def announce(
+    members: membership.Membership, name: str, incarnation: int = 5
+) -> None:
+    """Adds an agent to a member table."""
+    value = {
+        "name": name,
+        "role": "agent",
+        "ip": f"10.0.0.{name.rsplit('-', 1)[1]}",
+        "port": 4000,
+        "incarnation": incarnation,
+        "data_centre": "etela-a",
+        "service": SERVICE,
+        "weight": 1.0,
+        "state": "up",
+    }
+    members.apply_announcement(value, revision=incarnation)
+
+
+def names(made: load.LoadTable, now_ms: int = NOW_MS) -> list[str]:
+    """Returns the names of the usable peers."""
+    return [peer.report.name for peer in made.usable(now_ms)]
+
+
+class TestReportsInUse:
+    """Which reports count."""
+
+    def test_old_report_is_not_used(self) -> None:
+        """Guards against placement on the load of the past."""
+        made = table(report("agent-1"))
+        assert names(made, NOW_MS + load.REPEAT_MS) == ["agent-1"]
+        assert names(made, NOW_MS + load.STALE_MS + 1) == []
+
+    def test_other_service_is_refused(self) -> None:
+        """Guards against a request that runs at another service."""
+        made = table(report("agent-1", service="jasen-kauppa"))
+        assert names(made) == []
+
+    def test_replayed_and_reordered_reports_are_refused(self) -> None:
+        """Guards against a delayed report that replaces a newer one."""
+        made = table(report("agent-1", sequence=3, busy=4))
+        assert not made.apply(report("agent-1", sequence=3), NOW_MS)
+        assert not made.apply(report("agent-1", sequence=2), NOW_MS)
+        older = report("agent-1", incarnation=4, sequence=9)
+        assert not made.apply(older, NOW_MS)
+        assert made.peers["agent-1"].report.busy == 4
+
+    def test_older_incarnation_than_announced_is_not_used(self) -> None:
+        """Guards against transfers to a peer that has been replaced."""
+        members = membership.Membership()
+        made = load.LoadTable(
+            name="agent-0",
+            service=SERVICE,
+            members=members,
+            rng=random.Random(1),
+        )
+        made.apply(report("agent-1"), NOW_MS)
+        announce(members, "agent-1", incarnation=5)
+        assert names(made) == ["agent-1"]
+        announce(members, "agent-1", incarnation=6)
+        assert names(made) == []
+
+    def test_draining_peer_is_not_used(self) -> None:
+        """Guards against work for a peer that is leaving."""
+        assert names(table(report("agent-1", state="draining"))) == []
+
+
+class TestFlowPlacement:
+    """The choice among the candidates of an OPEN."""
+
+    CANDIDATES = [report(f"agent-{n}")[2:4] for n in (1, 2)]
+
+    def place(self, flows: int, *reports: messages.Load) -> str | None:
+        """Returns the peer chosen by an agent with that many flows."""
+        candidates = [messages.Address(*pair) for pair in self.CANDIDATES]
+        peer = table(*reports).place_flow(own(flows=flows), candidates, NOW_MS)
+        return None if peer is None else peer.report.name
+
+    def test_flows_decide_then_utilisation(self) -> None:
+        """Guards against a choice by the noisier figure."""
+        one = report("agent-1", flows=8, utilisation=0.1)
+        two = report("agent-2", flows=4, utilisation=0.9)
+        assert self.place(20, one, two) == "agent-2"
+        two = two._replace(flows=8)
+        assert self.place(20, one, two) == "agent-1"
+
+    def test_threshold_keeps_flows_here(self) -> None:
+        """Guards against extra hops between agents about equally loaded."""
+        assert self.place(20, report("agent-1", flows=18)) is None
+        assert self.place(20, report("agent-1", flows=17)) == "agent-1"
+        assert self.place(1, report("agent-1", flows=1)) is None
+
+    def test_only_candidates_are_chosen(self) -> None:
+        """Guards against a flow at an agent that no balancer offered."""
+        assert self.place(20, report("agent-3")) is None
+
+    def test_flows_sent_since_the_report_count(self) -> None:
+        """Guards against herding on the peer that was empty."""
+        made = table(report("agent-1"))
+        candidates = [messages.Address(*self.CANDIDATES[0])]
+        placed = [
+            made.place_flow(own(flows=5), candidates, NOW_MS) for _ in range(20)
+        ]
+        assert sum(peer is not None for peer in placed) == 5
+
+
+class TestRequestPlacement:
+    """The choice between the local slots and the peers."""
+
+    def test_free_slot_is_used_when_loads_are_about_equal(self) -> None:
+        """Guards against requests that travel for nothing."""
+        peers = [report(f"agent-{n}", utilisation=0.5) for n in (1, 2, 3)]
+        made = table(*peers)
+        assert made.place_request(own(busy=2, utilisation=0.51), NOW_MS) is None
+        chosen = made.place_request(own(busy=2, utilisation=0.7), NOW_MS)
+        assert chosen is not None
+
+    def test_busy_or_cold_peer_is_no_choice(self) -> None:
+        """Guards against a queue at a full peer, or load on a cold one."""
+        full = report("agent-1", busy=4, utilisation=0.1)
+        cold = report("agent-2", limit=0.4)
+        for seed in range(20):
+            made = table(full, cold, seed=seed)
+            assert made.place_request(own(busy=4), NOW_MS) is None
+
+    def test_requests_sent_since_the_report_count(self) -> None:
+        """Guards against herding on the peer that was idle."""
+        made = table(report("agent-1"))
+        busy = own(busy=4, utilisation=0.9)
+        placed = [made.place_request(busy, NOW_MS) for _ in range(20)]
+        assert sum(peer is not None for peer in placed) == 5
+
+    def test_choices_spread_over_peers(self) -> None:
+        """Guards against herding by agents that hold the same reports."""
+        peers = [report(f"agent-{n}", utilisation=0.1 * n) for n in range(1, 6)]
+        busy = own(busy=4, utilisation=0.9)
+        chosen = {
+            made.place_request(busy, NOW_MS).report.name  # type: ignore
+            for made in (table(*peers, seed=seed) for seed in range(40))
+        }
+        assert len(chosen) >= 3
+
+
+class TestReporter:
+    """When reports are sent, and how much they cost."""
+
+    def reporter(self, peers: int) -> load.Reporter:
+        """Returns a reporter with long names and that many peers."""
+        members = membership.Membership()
+        for number in range(1, peers + 1):
+            announce(members, f"agent-with-a-long-name-{number}")
+        return load.Reporter(
+            name="agent-with-a-long-name-0",
+            service=SERVICE,
+            address=messages.Address("255.255.255.255", 65000),
+            incarnation=1 << 62,
+            members=members,
+            rng=random.Random(1),
+        )
+
+    def test_bytes_stay_within_the_share(self) -> None:
+        """Guards against control traffic that grows with the service."""
+        made = self.reporter(peers=30)
+        sent_bytes = 0
+        receivers: set[messages.Address] = set()
+        for now_ms in range(0, 60_000, 20):
+            changing = own(utilisation=now_ms / 60_000, limit=3.123456)
+            body, to = made.due(changing, now_ms)
+            size = len(body) + wire.PEER_HEADER_BYTES
+            sent_bytes += len(to) * (size + load.UDP_IP_HEADER_BYTES)
+            receivers.update(to)
+            assert len(to) <= load.SAMPLED_PEERS
+        assert 3000 < sent_bytes / 60 <= load.REPORT_BYTES_PER_S
+        assert len(receivers) > load.SAMPLED_PEERS
+
+    def test_unchanged_load_is_repeated_before_it_is_stale(self) -> None:
+        """Guards against an idle peer that no one may use."""
+        made = self.reporter(peers=3)
+        sent = [t for t in range(0, 10_000, 20) if made.due(own(), t)[1]]
+        gaps = {after - before for before, after in itertools.pairwise(sent)}
+        assert max(gaps) < load.STALE_MS
+        assert min(gaps) >= load.REPEAT_MS
