--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -51,6 +51,8 @@
                 assembly_bytes=backend.assembly_bytes,
             ),
             ring=self.ring,
+            members=self.members,
+            rng=self.rng,
         )
         self._backend = backend_client.BackendClient(
             messages.Address(backend.ip, backend.port), slots=backend.slots
@@ -77,7 +79,11 @@
         self._events.put(agent.Drain())
         with eventlet.Timeout(self.settings.stop_timeout_ms / 1000, False):
             eventlet.sleep(TICK_S)
-            while self.core.flows or self.core.requests.running:
+            while (
+                self.core.flows
+                or self.core.requests.running
+                or self.core.balance.pending
+            ):
                 eventlet.sleep(TICK_S)
             eventlet.sleep(FINAL_RESPONSES_S)
 
@@ -94,11 +100,16 @@
             "flows": len(self.core.flows),
             "running": self.core.requests.running,
             "queued": self.core.requests.queued,
+            "utilisation": self.core.balance.utilisation(clock.now_ms()),
             "withdrawn": self.core.withdrawn,
             "admission_limit": self.core.requests.admission.limit(
                 clock.now_ms()
             ),
             "cold_restarts": self.core.requests.admission.cold_restarts,
+            "load_peers": [
+                peer.report.name
+                for peer in self.core.balance.table.usable(clock.now_ms())
+            ],
         }
 
     def on_peer_datagram(
--- a/sapphirelift/core/flows.py
+++ b/sapphirelift/core/flows.py
@@ -18,6 +18,11 @@
         caller: Caller name at arrival; the flow's address may change later.
         held_bytes: Bytes counted against ``assembly_bytes``.
         progress_ms: When the last new fragment arrived.
+        transfer_id: Run id at the peer while the request is transferred. A
+            peer may have run it, so it counts as started.
+        may_have_run: Whether a silent peer may have run an earlier transfer.
+            The outcome is then never reported as not run.
+        incoming: Key of an incoming run; None for a request of a flow.
     """
 
     request_id: int
@@ -36,6 +41,14 @@
     caller: str = ""
     held_bytes: int = 0
     progress_ms: int = 0
+    transfer_id: int | None = None
+    may_have_run: bool = False
+    incoming: tuple[messages.Address, int, int] | None = None
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the request may have reached a backend server."""
+        return self.run_id is not None or self.transfer_id is not None
 
 
 @dataclasses.dataclass(slots=True)
--- a/sapphirelift/core/requests.py
+++ b/sapphirelift/core/requests.py
@@ -1,6 +1,7 @@
 """Requests of an agent's flows, from their first fragment to eviction."""
 
 import collections
+from typing import Protocol
 
 from sapphirelift import errors
 from sapphirelift import messages
@@ -22,6 +23,26 @@
 ENTRY_BYTES = 1024
 
 
+class Transfers(Protocol):
+    """Requests that run at a peer, and those that run here for a peer."""
+
+    def offer(
+        self, flow: flows.Flow, state: flows.RequestState, now_ms: int
+    ) -> bool:
+        """Transfers a waiting request; returns False if it stays here."""
+
+    def cancel(self, state: flows.RequestState, now_ms: int) -> None:
+        """Cancels a transferred request at its peer."""
+
+    def on_finished(
+        self,
+        state: flows.RequestState,
+        outcome: outcomes.Outcome,
+        now_ms: int,
+    ) -> None:
+        """Takes the outcome of an incoming run."""
+
+
 class Requests:
     """Receives, queues, runs and answers requests.
 
@@ -64,6 +85,7 @@
         self._runs: dict[int, flows.RequestState] = {}
         self._responding: dict[tuple[bytes, int], flows.RequestState] = {}
         self._next_run_id = 1
+        self.transfers: Transfers | None = None
 
     @property
     def running(self) -> int:
@@ -107,7 +129,7 @@
             state.progress_ms = now_ms
             self._hold(flow, state, len(fragment.payload))
             if self._is_over_memory(flow):
-                self._finish(state, outcomes.NotRun("overloaded"), now_ms)
+                self.finish(state, outcomes.NotRun("overloaded"), now_ms)
                 return
         ack = messages.FragmentAck(fragment.request_id, state.receiver.bitmap)
         self._out.reply(flow, _Kind.REQUEST_ACK, ack)
@@ -158,9 +180,9 @@
         self._hold(flow, state, ENTRY_BYTES)
         self._assembling[flow.flow_key, state.request_id] = state
         if fragment.request_id <= flow.forgotten_id:
-            self._finish(state, outcomes.Unknown("forgotten"), now_ms)
+            self.finish(state, outcomes.Unknown("forgotten"), now_ms)
         elif self.state != membership.UP:
-            self._finish(state, outcomes.NotRun(self.state), now_ms)
+            self.finish(state, outcomes.NotRun(self.state), now_ms)
         return state
 
     def _insert(self, flow: flows.Flow, state: flows.RequestState) -> None:
@@ -183,28 +205,39 @@
             state.body = state.receiver.body()
         except errors.DatagramError:
             # All fragments are acknowledged, so the caller sends none again.
-            self._finish(state, outcomes.NotRun("body_hash"), now_ms)
+            self.finish(state, outcomes.NotRun("body_hash"), now_ms)
             raise
         state.receiver = None
         self._assembling.pop((flow.flow_key, state.request_id), None)
+        if self.transfers is None or not self.transfers.offer(
+            flow, state, now_ms
+        ):
+            self.enqueue_here(state, now_ms)
+
+    def enqueue_here(self, state: flows.RequestState, now_ms: int) -> None:
+        """Queues a complete request for this backend server."""
+        if self.state != membership.UP:
+            self.finish(state, outcomes.NotRun(self.state), now_ms)
+            return
         shed = self._queue.push(state.caller, state, now_ms)
         if shed is not None:
-            self._finish(shed, outcomes.NotRun("overloaded"), now_ms)
+            self.finish(shed, outcomes.NotRun("overloaded"), now_ms)
 
     def expire(self, now_ms: int) -> None:
         """Ends what has passed its deadline or was not sent completely."""
         timeout_ms = self._limits.assembly_timeout_ms
         for state in list(self._assembling.values()):
             if state.deadline_at_ms <= now_ms:
-                self._finish(state, outcomes.NotRun("deadline"), now_ms)
+                self.finish(state, outcomes.NotRun("deadline"), now_ms)
             elif now_ms - state.progress_ms > timeout_ms:
-                self._finish(state, outcomes.NotRun("incomplete"), now_ms)
+                self.finish(state, outcomes.NotRun("incomplete"), now_ms)
         for state in list(self._queue):
             if not self._can_meet_deadline(state, now_ms):
-                self._finish(state, outcomes.NotRun("deadline"), now_ms)
+                self.finish(state, outcomes.NotRun("deadline"), now_ms)
         for state in list(self._runs.values()):
             if state.outcome is None and state.deadline_at_ms <= now_ms:
-                self._cancel_run(state, "deadline", now_ms)
+                self._stop_run(state, now_ms)
+                self.finish(state, outcomes.Unknown("deadline"), now_ms)
         for state in self._replies.expire(now_ms):
             self._responding.pop((state.flow_key, state.request_id), None)
 
@@ -224,7 +257,7 @@
             if state is None:
                 return
             if not self._can_meet_deadline(state, now_ms):
-                self._finish(state, outcomes.NotRun("deadline"), now_ms)
+                self.finish(state, outcomes.NotRun("deadline"), now_ms)
                 continue
             self._start_run(state, now_ms)
 
@@ -283,7 +316,7 @@
             state.caller, state.started_ms, now_ms, learn=learn
         )
         if state.outcome is None:
-            self._finish(state, outcome, now_ms)
+            self.finish(state, outcome, now_ms)
 
     def on_cancel(
         self, flow: flows.Flow, cancel: messages.Cancel, now_ms: int
@@ -304,27 +337,32 @@
                 receiver=None,
             )
             self._insert(flow, state)
+        self.cancel(state, now_ms)
+
+    def cancel(self, state: flows.RequestState, now_ms: int) -> None:
+        """Ends a request and cancels its run, wherever it runs."""
         if state.outcome is not None:
             return
-        if state.run_id is None:
-            self._finish(state, outcomes.NotRun("cancelled"), now_ms)
+        if not state.has_started:
+            self.finish(state, outcomes.NotRun("cancelled"), now_ms)
             return
-        self._cancel_run(state, "cancelled", now_ms)
+        self._stop_run(state, now_ms)
+        self.finish(state, outcomes.Unknown("cancelled"), now_ms)
 
-    def _cancel_run(
-        self, state: flows.RequestState, reason: str, now_ms: int
-    ) -> None:
-        assert state.run_id is not None
-        self._out.add(actions.CancelRun(state.run_id))
-        self._finish(state, outcomes.Unknown(reason), now_ms)
+    def _stop_run(self, state: flows.RequestState, now_ms: int) -> None:
+        """Cancels what runs for a request, here or at a peer."""
+        if state.run_id is not None:
+            self._out.add(actions.CancelRun(state.run_id))
+        elif state.transfer_id is not None and self.transfers is not None:
+            self.transfers.cancel(state, now_ms)
 
     def refuse_unstarted(self, flow: flows.Flow, now_ms: int) -> None:
         """Refuses the requests of a flow that have not been started."""
         for state in list(flow.requests.values()):
-            if state.outcome is None and state.run_id is None:
-                self._finish(state, outcomes.NotRun(self.state), now_ms)
+            if state.outcome is None and not state.has_started:
+                self.finish(state, outcomes.NotRun(self.state), now_ms)
 
-    def close_flow(self, flow: flows.Flow) -> None:
+    def close_flow(self, flow: flows.Flow, now_ms: int) -> None:
         """Forgets the requests of a flow and cancels those that run.
 
         The flow must still be in the table. A flow that is opened again under
@@ -337,19 +375,20 @@
             self._responding.pop((flow.flow_key, state.request_id), None)
             if state.outcome is None:
                 state.outcome = outcomes.Unknown("closed")
-                if state.run_id is not None:
-                    self._out.add(actions.CancelRun(state.run_id))
+                self._stop_run(state, now_ms)
         flow.requests.clear()
 
     # Answering.
 
-    def _finish(
+    def finish(
         self,
         state: flows.RequestState,
         outcome: outcomes.Outcome,
         now_ms: int,
     ) -> None:
         """Stores the outcome and begins to send it to the caller."""
+        if state.may_have_run and isinstance(outcome, outcomes.NotRun):
+            outcome = outcomes.Unknown(outcome.reason)
         if state.run_id is None:
             self._release(state)
             self._queue.remove(state.caller, state)
@@ -357,6 +396,10 @@
         state.receiver = None
         state.body = b""
         state.finished_ms = now_ms
+        if state.incoming is not None:
+            if self.transfers is not None:
+                self.transfers.on_finished(state, outcome, now_ms)
+            return
         body = outcome.body if isinstance(outcome, outcomes.Answered) else b""
         state.sender = transfer.FragmentSender(body)
         self._responding[(state.flow_key, state.request_id)] = state
@@ -401,7 +444,7 @@
         self, flow: flows.Flow, state: flows.RequestState, index: int
     ) -> None:
         assert state.sender is not None
-        code, status, reason = _encode_outcome(state.outcome)
+        code, status, reason = encode_outcome(state.outcome)
         response = messages.Response(
             request_id=state.request_id,
             fragment_index=index,
@@ -415,7 +458,7 @@
         self._out.reply(flow, _Kind.RESPONSE, response)
 
 
-def _encode_outcome(
+def encode_outcome(
     outcome: outcomes.Outcome | None,
 ) -> tuple[int, int, str]:
     """Returns code, HTTP status and reason of an outcome."""
