--- a/sapphirelift/standins/backend_server.py
+++ b/sapphirelift/standins/backend_server.py
@@ -60,6 +60,7 @@
     """Body of ``POST /control``; fields left out change nothing."""
 
     cold: bool = False
+    cold_ms: float | None = None
     drain: bool | None = None
     fall: bool = False
     speed: float | None = None
@@ -100,6 +101,8 @@
     def control(self, change: Control) -> None:
         """Changes the behaviour."""
         now_s = time.monotonic()
+        if change.cold_ms is not None:
+            self.options.cold_ms = change.cold_ms
         if change.cold:
             self._cold_until_s = now_s + self.options.cold_ms / 1000
             self._notice_until_s = now_s + self.options.cold_notice_ms / 1000
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -111,6 +111,7 @@
         *,
         service: str,
         slots: int = 4,
+        ramp_ms: int = 0,
         backend: dict[str, Any] | None = None,
         **extra: Any,
     ) -> None:
@@ -125,6 +126,7 @@
                 "port": self.backend_ports[name],
                 "service": service,
                 "slots": slots,
+                "ramp_ms": ramp_ms,
             },
             **extra,
         )
@@ -170,6 +172,10 @@
         """Returns the runs that a backend server recorded."""
         return get_json(self.backend_ports[name], "/runs")
 
+    def counters(self, name: str) -> dict[str, int]:
+        """Returns the counters of a backend server."""
+        return get_json(self.backend_ports[name], "/counters")
+
     def wait_ready(self, *, agents: int) -> None:
         """Waits until every balancer knows that many agents."""
 
--- /dev/null
+++ b/tests/test_backend_client.py
@@ -0,0 +1,171 @@
+"""Outcomes of calls to the backend server, against scripted sockets."""
+
+import socket
+import threading
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import pytest
+
+from sapphirelift import messages
+from sapphirelift.backends import client
+from sapphirelift.core import actions
+from sapphirelift.core import outcomes
+from sapphirelift.core import transfer
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+SHED = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 9\r\n\r\n"
+BUSY = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+PARTIAL = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"
+BODY = b"jar"
+HUGE_BYTES = transfer.MAX_BODY_BYTES + 1
+HUGE = b"HTTP/1.1 200 OK\r\n\r\n" + bytes(HUGE_BYTES)
+CUT = outcomes.Unknown("connection_cut")
+
+
+def _read_request(connection: socket.socket) -> bool:
+    """Reads to the end of the body; closing earlier would send a reset."""
+    data = b""
+    while not data.endswith(BODY):
+        part = connection.recv(65536)
+        if not part:
+            return False
+        data += part
+    return True
+
+
+class ScriptedServer:
+    """Answers each request with the next script entry.
+
+    An entry is the bytes to send; None means silence. The connection is
+    closed after each answer, or kept if ``keep`` is set.
+    """
+
+    def __init__(self, script: list[bytes | None], *, keep: bool) -> None:
+        self.script = script
+        self.keep = keep
+        self.requests = 0
+        self.closed_by_client = threading.Event()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = messages.Address(*self.listener.getsockname())
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            with connection:
+                while _read_request(connection):
+                    self.requests += 1
+                    answer = self.script.pop(0)
+                    if answer is None:
+                        connection.recv(1)
+                        self.closed_by_client.set()
+                        break
+                    try:
+                        connection.sendall(answer)
+                    except OSError:
+                        break
+                    if not self.keep:
+                        break
+
+
+@pytest.fixture
+def serve() -> Iterator[Callable[..., ScriptedServer]]:
+    """Starts scripted servers and ends them."""
+    servers = []
+
+    def start(*script: bytes | None, keep: bool = False) -> ScriptedServer:
+        servers.append(ScriptedServer(list(script), keep=keep))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.listener.close()
+
+
+def run(
+    caller: client.BackendClient, *, path: str = "/", deadline_ms: int = 2000
+) -> client.RunResult:
+    """Runs one request."""
+    return caller.run(
+        actions.StartRun(1, 1, "caller", "POST", path, BODY, deadline_ms)
+    )
+
+
+class TestBackendClient:
+    """Mapping of what happens on a connection to an outcome."""
+
+    @pytest.mark.parametrize(
+        ("answer", "expected"),
+        [
+            (OK, (outcomes.Answered(200, b"ok"), False, False)),
+            (SHED, (outcomes.NotRun("shed"), True, False)),
+            (BUSY, (outcomes.Answered(503, b""), False, False)),
+            (b"", (CUT, False, True)),
+            (OK[:20], (CUT, False, True)),
+            (PARTIAL, (CUT, False, True)),
+            (b"garbage\r\n\r\n", (CUT, False, True)),
+            (HUGE, (outcomes.Unknown("answer_too_large"), False, False)),
+        ],
+    )
+    def test_outcome(
+        self,
+        serve: Callable[..., ScriptedServer],
+        answer: bytes,
+        expected: tuple[outcomes.Outcome, bool, bool],
+    ) -> None:
+        """Guards against NotRun for a request that may have run."""
+        server = serve(answer)
+        caller = client.BackendClient(server.address, slots=2)
+        assert run(caller) == expected
+        assert server.requests == 1
+
+    def test_refused_connection_is_not_run(self) -> None:
+        """Guards against Unknown for a request that was never written."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = messages.Address(*listener.getsockname())
+        caller = client.BackendClient(address, slots=2)
+        assert run(caller) == (outcomes.NotRun("connection"), False, True)
+        assert [caller.is_gone(), caller.is_gone()] == [True, False]
+
+    def test_silent_connection_ends_at_deadline(
+        self, serve: Callable[..., ScriptedServer]
+    ) -> None:
+        """Guards against a run that hangs, and one that is not cancelled."""
+        server = serve(None)
+        caller = client.BackendClient(server.address, slots=2)
+        result = run(caller, deadline_ms=100)
+        assert result == (outcomes.Unknown("deadline"), False, False)
+        assert server.closed_by_client.wait(5.0)
+
+    def test_connection_closed_between_requests_is_replaced(
+        self, serve: Callable[..., ScriptedServer]
+    ) -> None:
+        """Guards against Unknown after a keep-alive connection has ended."""
+        server = serve(OK, OK)
+        caller = client.BackendClient(server.address, slots=2)
+        for _ in range(2):
+            assert run(caller).outcome == outcomes.Answered(200, b"ok")
+            threading.Event().wait(0.1)
+
+    def test_connection_is_reused(
+        self, serve: Callable[..., ScriptedServer]
+    ) -> None:
+        """Guards against a new connection for each request."""
+        server = serve(OK, OK, keep=True)
+        caller = client.BackendClient(server.address, slots=2)
+        assert run(caller).outcome == run(caller).outcome
+        assert server.requests == 2
+
+    def test_request_that_cannot_be_written_is_not_run(
+        self, serve: Callable[..., ScriptedServer]
+    ) -> None:
+        """Guards against header injection through the path."""
+        server = serve(OK)
+        caller = client.BackendClient(server.address, slots=2)
+        result = run(caller, path="/ HTTP/1.1\r\nX: 1\r\n\r\n")
+        assert result.outcome == outcomes.NotRun("invalid_request")
+        assert server.requests == 0
--- /dev/null
+++ b/tests/test_backend_faults.py
@@ -0,0 +1,171 @@
+"""Real agents beside backend servers that are cold, cut or left alone.
+
+Judged by the backend server's own record.
+"""
+
+import signal
+import time
+
+import eventlet
+import pytest
+
+from sapphirelift.callers import client
+from sapphirelift.core import outcomes
+from tests import processes
+
+SERVICE = "pakkaamo"
+COLD = {
+    "work_ms": 20,
+    "cold_ms": 1200,
+    "cold_slots": 1,
+    "cold_starts_per_s": 30,
+}
+
+
+def start(fleet: processes.Fleet, **backend: object) -> client.Caller:
+    """Starts one balancer and one agent; returns a caller."""
+    fleet.start_platform()
+    fleet.start_balancer("balancer")
+    fleet.start_agent("agent", service=SERVICE, backend=backend, ramp_ms=4000)
+    fleet.wait_ready(agents=1)
+    return client.Caller(list(fleet.public.values()), seed=1)
+
+
+def load(caller: client.Caller, *, duration_s: float) -> list[bool]:
+    """Sends more requests than a cold server bears; returns the answers."""
+    end_s = time.monotonic() + duration_s
+    answered: list[bool] = []
+
+    def send() -> None:
+        session = caller.open(SERVICE)
+        while time.monotonic() < end_s:
+            outcome = session.request("POST", "/echo", deadline_ms=1000)
+            answered.append(isinstance(outcome, outcomes.Answered))
+            # The stand-in is not asked to refuse; wait as a caller would.
+            eventlet.sleep(0.01)
+
+    tasks = [eventlet.spawn(send) for _ in range(12)]
+    for task in tasks:
+        task.wait()
+    return answered
+
+
+class TestColdBackend:
+    """A cold backend server gets no more than it bears."""
+
+    def test_start_and_restart_give_no_overload(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against full load at a start or restart without notice."""
+        caller = start(fleet, **COLD)
+        assert any(load(caller, duration_s=4.0))
+        assert fleet.counters("agent")["runs"] > 100
+        assert "cold_overload" not in fleet.counters("agent")
+        fleet.kill("agent-backend")
+        eventlet.sleep(0.3)
+        fleet.start_backend("agent", service=SERVICE, **COLD)
+        assert any(load(caller, duration_s=4.0))
+        assert fleet.counters("agent")["runs"] > 50
+        assert "cold_overload" not in fleet.counters("agent")
+        caller.close()
+
+    def test_turning_cold_gives_no_overload(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against reliance on notice, health or load endpoints."""
+        caller = start(fleet, **(COLD | {"cold_ms": 0}))
+        load(caller, duration_s=5.0)
+        port = fleet.backend_ports["agent"]
+        restarts = fleet.dump("agent")["cold_restarts"]
+        loading = eventlet.spawn(load, caller, duration_s=4.0)
+        eventlet.sleep(1.0)
+        processes.post_json(port, "/control", {"cold": True, "cold_ms": 2500})
+        assert any(loading.wait())
+        assert fleet.dump("agent")["cold_restarts"] > restarts
+        assert "cold_overload" not in fleet.counters("agent")
+        caller.close()
+
+
+class TestOutcomes:
+    """Outcomes at the caller match the backend server's record."""
+
+    def test_cut_is_unknown_and_refused_is_not_run(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against outcomes that claim more than is known."""
+        caller = start(fleet)
+        session = caller.open(SERVICE)
+        for path in ("/echo?id=a&cut=read", "/bytes/99?id=b&cut=partial"):
+            outcome = session.request("POST", path, idempotent=False)
+            assert outcome == outcomes.Unknown("connection_cut")
+        fleet.kill("agent-backend")
+        outcome = session.request(
+            "POST", "/echo?id=c", idempotent=False, deadline_ms=500
+        )
+        assert not isinstance(outcome, outcomes.Answered)
+        assert caller.core.counters["retries"] > 0
+        caller.close()
+
+    def test_cancelled_run_closes_the_connection(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against a backend server that works for nobody."""
+        caller = start(fleet)
+        session = caller.open(SERVICE)
+        path = "/echo?id=long&work_ms=20000"
+        outcome = session.request("POST", path, deadline_ms=300)
+        assert isinstance(outcome, outcomes.Unknown)
+        processes.wait_until(
+            lambda: fleet.counters("agent").get("client_gone") == 1
+        )
+        assert [run["end"] for run in fleet.runs("agent")] == ["cut"]
+        caller.close()
+
+    @pytest.mark.parametrize("delay_ms", [0, 3, 8, 15, 30, 60, 120])
+    def test_killed_agent_gives_no_false_refusal_or_second_run(
+        self, fleet: processes.Fleet, delay_ms: int
+    ) -> None:
+        """Guards against a request that an agent's death runs twice."""
+        fleet.start_platform()
+        fleet.start_balancer("balancer")
+        for name in ("agent-0", "agent-1"):
+            fleet.start_agent(name, service=SERVICE, backend={"work_ms": 40})
+        fleet.wait_ready(agents=2)
+        caller = client.Caller(list(fleet.public.values()), seed=delay_ms)
+        results: dict[str, outcomes.Outcome] = {}
+
+        def send(session: client.Session, logical_id: str) -> None:
+            results[logical_id] = session.request(
+                "POST",
+                f"/echo?id={logical_id}",
+                body=bytes(5000),
+                idempotent=False,
+                deadline_ms=4000,
+            )
+
+        sessions = [caller.open(SERVICE) for _ in range(10)]
+        victim = sessions[0].agent
+        tasks = [
+            eventlet.spawn(send, session, f"r{number}")
+            for number, session in enumerate(sessions)
+        ]
+        eventlet.sleep(delay_ms / 1000)
+        fleet.processes[victim].send_signal(signal.SIGKILL)
+        fleet.wait_exit(victim)
+        fleet.start_agent(victim, service=SERVICE)
+        for task in tasks:
+            task.wait()
+        ids = [
+            run["id"]
+            for name in ("agent-0", "agent-1")
+            for run in fleet.runs(name)
+        ]
+        assert len(ids) == len(set(ids))
+        for logical_id, outcome in results.items():
+            match outcome:
+                case outcomes.Answered():
+                    assert logical_id in ids
+                case outcomes.NotRun():
+                    assert logical_id not in ids
+        assert len(results) == len(sessions)
+        caller.close()
