--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -69,6 +69,11 @@
                     if not self.keep:
                         break
 
+    def _accept(self) -> socket.socket | None:
+        with contextlib.suppress(OSError):
+            return self.listener.accept()[0]
+        return None
+
 
 @pytest.fixture
 def serve() -> Iterator["Serve"]:
@@ -82,11 +87,6 @@
 
         yield start
 
-    def _accept(self) -> socket.socket | None:
-        with contextlib.suppress(OSError):
-            return self.listener.accept()[0]
-        return None
-
 
 Serve = Callable[..., ScriptedServer]
 
