--- a/sapphirelift/_announcer.py
+++ b/sapphirelift/_announcer.py
@@ -10,6 +10,7 @@
 
 from sapphirelift import errors
 from sapphirelift.core import backoff
+from sapphirelift.core import replica
 from sapphirelift.platform import client
 
 # When a sixth of the fleet (1,167 agents) returns at once, delays of 5 to
@@ -49,6 +50,14 @@
             self._running = True
             eventlet.spawn(self._run)
 
+    def on_change(self, change: replica.StoredObject) -> None:
+        """Announces again if another process has changed the object."""
+        value = self._announcement()
+        found = change.value or {}
+        is_newer = found.get("incarnation", 0) > value["incarnation"]
+        if found != value and not is_newer:
+            self.announce()
+
     def _run(self) -> None:
         delays = backoff.Backoff(self._rng, max_s=MAX_DELAY_S)
         try:
--- a/sapphirelift/_node.py
+++ b/sapphirelift/_node.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from sapphirelift import _announcer
+from sapphirelift import _key_rotation
 from sapphirelift import _record_sync
 from sapphirelift import clock
 from sapphirelift import errors
@@ -37,6 +38,7 @@
         self.ring = keys.KeyRing(
             0, {0: bytes.fromhex(settings.cluster_key_hex)}
         )
+        self.rotation = _key_rotation.KeyRotation(self.ring)
         self.state = membership.UP
         self.sync = _record_sync.RecordSync(
             settings, on_changes=self.apply_changes, rng=self.rng
@@ -97,18 +99,11 @@
             "role": self.settings.role,
             "incarnation": self.incarnation,
             "state": self.state,
-            "revision": self.replica.revision,
-            "platform_calls": self.sync.platform.calls.total(),
-            "platform_calls_by_kind": dict(self.sync.platform.calls),
-            "platform_failures": dict(self.sync.platform.failures),
-            "platform_reverted": self.sync.platform_reverted,
-            "watch_silent": self.sync.watch_silent,
-            "record_counters": dict(
-                self.sync.counters + self.announcer.counters
-            ),
+            "announcements": dict(self.announcer.counters),
             "keyring": {
                 "current_id": self.ring.current_id,
                 "ids": sorted(self.ring.keys),
+                "refused": self.rotation.refused,
             },
             "peer_bytes_sent": self.peer.bytes_sent,
             "drops": self.drops,
@@ -121,7 +116,7 @@
                 }
                 for m in self.members.members.values()
             },
-        }
+        } | self.sync.dump()
 
     # Records.
 
@@ -131,7 +126,7 @@
             if change.key.startswith(MEMBERS):
                 self._apply_member(change)
             elif change.key == keyring.KEY:
-                self._apply_keyring(change)
+                self.rotation.apply(change)
         out = {
             item.key.removeprefix(DATA_CENTRES)
             for item in self.replica.items(DATA_CENTRES)
@@ -144,6 +139,8 @@
         raise NotImplementedError
 
     def _apply_member(self, change: replica.StoredObject) -> None:
+        if change.key == self._member_key and self.state == membership.UP:
+            self.announcer.on_change(change)
         if change.value is None:
             name = change.key.rsplit("/", 1)[1]
             self.members.remove(name, revision=change.revision)
@@ -152,31 +149,6 @@
                 change.value, revision=change.revision
             )
 
-    def _apply_keyring(self, change: replica.StoredObject) -> None:
-        """Rotates the keys; a deletion or an invalid record changes nothing."""
-        if change.value is None:
-            return
-        try:
-            rotated = keyring.parse(change.value)
-        except errors.RecordError as error:
-            self._count_drop("keyring_refused")
-            eliot.log_message("keyring_refused", reason=str(error))
-            return
-        self.ring.replace(rotated.keys)
-        eliot.log_message("keyring_in_force", ids=sorted(rotated.keys))
-        eventlet.spawn_after(
-            keyring.SWITCH_AFTER_MS / 1000,
-            self._sign_with,
-            change.revision,
-            rotated.current_id,
-        )
-
-    def _sign_with(self, revision: int, key_id: int) -> None:
-        held = self.replica.get(keyring.KEY)
-        if held is not None and held.revision == revision:
-            self.ring.use(key_id)
-            eliot.log_message("signing_key_changed", key_id=key_id)
-
     # Announcement and heartbeats.
 
     @property
--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -3,6 +3,7 @@
 import collections
 import random
 from collections.abc import Callable
+from typing import Any
 
 import eliot
 import eventlet
@@ -26,6 +27,10 @@
 # store is taken to have been restarted; a lagging read is shorter.
 REVERTED_READS = 5
 MAX_FETCHES = 4
+# After an outage, a change is in force within this delay and the two hops by
+# heartbeat to the agents, which together stay below 7 s. During an outage 840
+# balancers make about 370 calls a second.
+MAX_DELAY_S = 3.0
 # 7,000 agents that all resynchronise make 233 reads a second.
 RESYNC_INTERVAL_S = 30.0
 
@@ -53,7 +58,10 @@
         self.platform = client.ObjectClient(
             settings.platform_url, name=settings.name, rng=rng
         )
-        self.server = records.RecordServer(settings.peer.address, self.replica)
+        self._key = bytes.fromhex(settings.cluster_key_hex)
+        self.server = records.RecordServer(
+            settings.peer.address, self.replica, key=self._key
+        )
         self.counters: collections.Counter[str] = collections.Counter()
         self.platform_reverted = False
         self.watch_silent = False
@@ -73,9 +81,21 @@
         self.server.start()
         eventlet.spawn(self._follow)
 
+    def dump(self) -> dict[str, Any]:
+        """Returns the state for the admin port."""
+        return {
+            "revision": self.replica.revision,
+            "platform_calls": self.platform.calls.total(),
+            "platform_calls_by_kind": dict(self.platform.calls),
+            "platform_failures": dict(self.platform.failures),
+            "platform_reverted": self.platform_reverted,
+            "watch_silent": self.watch_silent,
+            "record_counters": dict(self.counters),
+        }
+
     def _follow(self) -> None:
         """Follows the platform; agents only until they have a record set."""
-        delays = backoff.Backoff(self._rng)
+        delays = backoff.Backoff(self._rng, max_s=MAX_DELAY_S)
         while True:
             before = self.replica.revision
             try:
@@ -202,7 +222,9 @@
             return
         self._fetching.add(address)
         try:
-            reply = records.fetch(address, since=self.replica.revision)
+            reply = records.fetch(
+                address, since=self.replica.revision, key=self._key
+            )
         except errors.FetchError:
             self.counters["fetches_failed"] += 1
             return
--- a/sapphirelift/operators/cli.py
+++ b/sapphirelift/operators/cli.py
@@ -26,11 +26,19 @@
         """Prints the version."""
         return sapphirelift.__version__
 
-    def apply(self, file: str) -> str:
-        """Writes the record in a JSON file."""
+    def apply(self, file: str, expected_revision: int | None = None) -> str:
+        """Writes the record in a JSON file.
+
+        Args:
+            file: Path of the file.
+            expected_revision: Refuse the write unless the record has this
+                revision; 0 stands for a record that must not exist.
+        """
         value = json.loads(pathlib.Path(file).read_text())
         key = f"records/{value['kind']}/{value['name']}"
-        revision = self._platform.put(key, value)
+        revision = self._platform.put(
+            key, value, expected_revision=expected_revision
+        )
         return f"{key} at revision {revision}"
 
     def get(self, kind: str, name: str) -> str:
--- a/sapphirelift/peers/records.py
+++ b/sapphirelift/peers/records.py
@@ -3,8 +3,14 @@
 grpc runs in its own threads. The server reads only the replica, which is
 replaced and never altered in place; the client is called through tpool so
 that green threads run on.
+
+Both directions are authenticated with the key of the settings: the replica
+contains the keyring record, and an instance that starts during an outage has
+no other key yet. Nothing is encrypted.
 """
 
+import hmac
+import secrets
 from concurrent import futures
 from typing import Any
 from typing import NamedTuple
@@ -15,11 +21,14 @@
 
 from sapphirelift import errors
 from sapphirelift import messages
+from sapphirelift.core import keys
 from sapphirelift.core import replica
 
 _SERVICE = "sapphirelift.Records"
 _METHOD = "Fetch"
 FETCH_TIMEOUT_S = 2.0
+_MAC_BYTES = 16
+_NONCE_BYTES = 16
 _MAX_MESSAGE_BYTES = 64 << 20
 _OPTIONS = [
     ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
@@ -29,22 +38,52 @@
 
 
 class FetchRequest(NamedTuple):
-    """Asks for all changes after ``since``."""
+    """Asks for all changes after ``since``.
+
+    Attributes:
+        nonce: Random bytes that the reply's hash covers.
+        mac: Hash over server, ``since`` and ``nonce``.
+    """
 
     since: int
+    nonce: bytes
+    mac: bytes
+
+
+class FetchReply(NamedTuple):
+    """An encoded ``Difference`` and a hash over the nonce and it."""
+
+    difference: bytes
+    mac: bytes
 
 
 _REQUEST_DECODER = msgspec.msgpack.Decoder(FetchRequest)
-_REPLY_DECODER = msgspec.msgpack.Decoder(replica.Difference)
+_REPLY_DECODER = msgspec.msgpack.Decoder(FetchReply)
+_DIFFERENCE_DECODER = msgspec.msgpack.Decoder(replica.Difference)
+
+
+def _request_mac(key: bytes, target: str, since: int, nonce: bytes) -> bytes:
+    data = f"fetch {target} {since} ".encode() + nonce
+    return keys.keyed_hash(key, data, _MAC_BYTES)
+
+
+def _reply_mac(key: bytes, nonce: bytes, difference: bytes) -> bytes:
+    return keys.keyed_hash(key, b"reply " + nonce + difference, _MAC_BYTES)
 
 
 class RecordServer:
     """Serves the replica to other daemons."""
 
     def __init__(
-        self, address: messages.Address, held: replica.Replica
+        self,
+        address: messages.Address,
+        held: replica.Replica,
+        *,
+        key: bytes,
     ) -> None:
         self._replica = held
+        self._key = key
+        self._target = f"{address.ip}:{address.port}"
         self._server = grpc.server(
             futures.ThreadPoolExecutor(max_workers=2), options=_OPTIONS
         )
@@ -60,7 +99,7 @@
                 ),
             )
         )
-        self._server.add_insecure_port(f"{address.ip}:{address.port}")
+        self._server.add_insecure_port(self._target)
 
     def start(self) -> None:
         """Starts to serve."""
@@ -70,24 +109,35 @@
         """Stops to serve."""
         self._server.stop(grace=None)
 
-    def _fetch(self, request: FetchRequest, context: Any) -> replica.Difference:
-        del context
-        return self._replica.difference(request.since)
+    def _fetch(self, request: FetchRequest, context: Any) -> FetchReply:
+        since, nonce, mac = request
+        expected = _request_mac(self._key, self._target, since, nonce)
+        if not hmac.compare_digest(expected, mac):
+            context.abort(grpc.StatusCode.UNAUTHENTICATED, "wrong key")
+        difference = msgspec.msgpack.encode(self._replica.difference(since))
+        return FetchReply(difference, _reply_mac(self._key, nonce, difference))
 
 
-def fetch(address: messages.Address, *, since: int) -> replica.Difference:
+def fetch(
+    address: messages.Address, *, since: int, key: bytes
+) -> replica.Difference:
     """Fetches changes from another daemon; blocks only the calling task.
 
     Raises:
-        FetchError: The other side did not answer in time.
+        FetchError: The other side did not answer in time, or with another
+            key.
     """
-    return tpool.execute(_fetch_blocking, address, since)
+    return tpool.execute(_fetch_blocking, address, since, key)
 
 
 def _fetch_blocking(
-    address: messages.Address, since: int
+    address: messages.Address, since: int, key: bytes
 ) -> replica.Difference:
     target = f"{address.ip}:{address.port}"
+    nonce = secrets.token_bytes(_NONCE_BYTES)
+    request = FetchRequest(
+        since, nonce, _request_mac(key, target, since, nonce)
+    )
     with grpc.insecure_channel(target, options=_OPTIONS) as channel:
         call = channel.unary_unary(
             f"/{_SERVICE}/{_METHOD}",
@@ -95,6 +145,13 @@
             response_deserializer=_REPLY_DECODER.decode,
         )
         try:
-            return call(FetchRequest(since), timeout=FETCH_TIMEOUT_S)
+            reply = call(request, timeout=FETCH_TIMEOUT_S)
         except grpc.RpcError as error:
             raise errors.FetchError(f"{target} did not answer") from error
+    expected = _reply_mac(key, nonce, reply.difference)
+    if not hmac.compare_digest(expected, reply.mac):
+        raise errors.FetchError(f"{target} answered with another key")
+    try:
+        return _DIFFERENCE_DECODER.decode(reply.difference)
+    except msgspec.MsgspecError as error:
+        raise errors.FetchError(f"{target} sent a malformed reply") from error
--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,279 @@
+"""Records, announcements and status through real processes."""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+from typing import Any
+
+import pytest
+
+from sapphirelift.callers import client as caller_client
+from sapphirelift.core import outcomes
+from sapphirelift.platform import client
+from tests import processes
+
+SERVICE = "jasen-kauppa"
+BOUND_S = 7.0
+ANSWER = outcomes.Answered(200, b"jar")
+
+
+def set_faults(fleet: processes.Fleet, **faults: Any) -> None:
+    """Sets the faults of the platform."""
+    processes.post_json(fleet.platform_port, "/faults", faults)
+
+
+def start(fleet: processes.Fleet, *, balancers: int = 2) -> None:
+    """Starts a platform, balancers and two agents."""
+    fleet.start_platform()
+    for number in range(balancers):
+        fleet.start_balancer(f"balancer-{number}")
+    for number in range(2):
+        fleet.start_agent(f"agent-{number}", service=SERVICE)
+    fleet.wait_ready(agents=2)
+
+
+def daemons(fleet: processes.Fleet) -> list[str]:
+    """Returns the names of all daemons."""
+    return list(fleet.admin_ports)
+
+
+def withdraw(fleet: processes.Fleet, data_centre: str) -> int:
+    """Writes a data centre record and returns its revision."""
+    key = f"records/data_centre/{data_centre}"
+    value = {
+        "schema_version": 2,
+        "kind": "data_centre",
+        "name": data_centre,
+        "withdrawn": True,
+    }
+    return client.ObjectClient(fleet.platform_url).put(key, value)
+
+
+def wait_in_force(fleet: processes.Fleet, revision: int) -> None:
+    """Waits until every daemon has a revision, no longer than promised."""
+    processes.wait_until(
+        lambda: all(
+            fleet.dump(name)["revision"] >= revision for name in daemons(fleet)
+        ),
+        timeout_s=BOUND_S,
+    )
+
+
+def neighbours(fleet: processes.Fleet, *names: str) -> list[dict[str, Any]]:
+    """Returns the peer addresses of daemons, for settings."""
+    return [
+        {"ip": "127.0.0.1", "port": fleet.peer_ports[name]} for name in names
+    ]
+
+
+class TestConfiguration:
+    """An accepted record is in force everywhere and stays so (P10)."""
+
+    @pytest.mark.parametrize(
+        "faults",
+        [
+            {"silent_watches": 2},
+            {"silent_clients": ["balancer-0"]},
+            {"history_changes": 0},
+            {"delay_ms": 1500},
+            {"stale_reads": 3, "stale_claims": True},
+        ],
+        ids=lambda faults: next(iter(faults)),
+    )
+    def test_change_is_in_force_within_the_bound(
+        self, fleet: processes.Fleet, faults: dict[str, Any]
+    ) -> None:
+        """Guards against a daemon that misses a change behind a fault."""
+        start(fleet)
+        set_faults(fleet, **faults)
+        revision = withdraw(fleet, "etela-b")
+        wait_in_force(fleet, revision)
+        for name in fleet.public:
+            assert fleet.dump(name)["withdrawn"] == ["etela-b"]
+
+    def test_stale_reads_and_restarted_store_revert_nothing(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against a withdrawn data centre that takes traffic again."""
+        start(fleet)
+        wait_in_force(fleet, withdraw(fleet, "etela-b"))
+        wait_in_force(fleet, withdraw(fleet, "etela-c"))
+        in_force = {n: fleet.dump(n)["revision"] for n in daemons(fleet)}
+        for faults in (
+            {"stale_reads": 10, "stale_changes": 2},
+            {"stale_reads": 10, "stale_claims": True, "history_changes": 0},
+            {"down": True},
+        ):
+            set_faults(fleet, **faults)
+            if "down" in faults:
+                processes.post_json(fleet.platform_port, "/restart", {})
+                set_faults(fleet)
+            self._watch_for_reverts(fleet, in_force, seconds=4.0)
+        processes.wait_until(
+            lambda: all(
+                fleet.dump(name)["platform_reverted"] for name in fleet.public
+            )
+        )
+        # The store grows past the revision in force without the old records.
+        writer = client.ObjectClient(fleet.platform_url, calls_per_s=1000)
+        for number in range(max(in_force.values()) + 5):
+            writer.put("records/service/filler", {"number": number})
+        self._watch_for_reverts(fleet, in_force, seconds=4.0)
+
+    def _watch_for_reverts(
+        self, fleet: processes.Fleet, in_force: dict[str, int], seconds: float
+    ) -> None:
+        end_s = time.monotonic() + seconds
+        while time.monotonic() < end_s:
+            for name, revision in in_force.items():
+                dump = fleet.dump(name)
+                assert dump["revision"] >= revision
+                if name in fleet.public:
+                    assert dump["withdrawn"] == ["etela-b", "etela-c"]
+            time.sleep(0.1)
+
+    def test_daemons_started_in_an_outage_serve(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against instances that need the platform at their start."""
+        start(fleet)
+        wait_in_force(fleet, withdraw(fleet, "etela-b"))
+        set_faults(fleet, down=True)
+        fleet.peer_ports["gone"] = processes.free_port()
+        known = neighbours(fleet, "gone", "agent-0", "balancer-0", "balancer-1")
+        fleet.start_agent("agent-2", service=SERVICE, neighbours=known)
+        fleet.start_balancer("balancer-2", neighbours=known)
+        processes.wait_until(
+            lambda: fleet.dump("balancer-2")["withdrawn"] == ["etela-b"]
+        )
+        fleet.wait_ready(agents=3)
+        caller = caller_client.Caller([fleet.public["balancer-2"]], seed=1)
+        sessions = [caller.open(SERVICE) for _ in range(30)]
+        for session in sessions:
+            assert session.request("POST", "/echo", body=b"jar") == ANSWER
+        assert "agent-2" in {session.agent for session in sessions}
+        set_faults(fleet)
+        platform = client.ObjectClient(fleet.platform_url, calls_per_s=100)
+        processes.wait_until(
+            lambda: len(platform.list_objects("members/").objects) == 6
+        )
+        wait_in_force(fleet, withdraw(fleet, "etela-c"))
+        for session in sessions:
+            assert session.request("POST", "/echo", body=b"jar") == ANSWER
+        assert caller.broken_flows == 0
+        caller.close()
+
+
+class TestAnnouncement:
+    """The member object of a daemon."""
+
+    def test_newer_incarnation_is_not_overwritten(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against a replaced instance that takes its name back."""
+        start(fleet)
+        platform = client.ObjectClient(fleet.platform_url, calls_per_s=100)
+        key = f"members/agent/{SERVICE}/agent-0"
+        held = platform.get(key)
+        assert held is not None
+        assert held.value is not None
+        newer = held.value | {"incarnation": held.value["incarnation"] + 1}
+        wait_in_force(fleet, platform.put(key, newer))
+        fleet.terminate("agent-0")
+        fleet.wait_exit("agent-0")
+        found = platform.get(key)
+        assert found is not None
+        assert found.value == newer
+
+    def test_deleted_announcement_is_repeated(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against a live member that stays deleted."""
+        start(fleet)
+        platform = client.ObjectClient(fleet.platform_url, calls_per_s=100)
+        key = f"members/agent/{SERVICE}/agent-0"
+        platform.delete(key)
+        processes.wait_until(lambda: platform.get(key), timeout_s=BOUND_S)
+
+
+class TestCommandLine:
+    """Operators who write at the same time."""
+
+    @pytest.mark.parametrize("lost", [0, 1])
+    def test_one_of_two_racing_writers_wins(
+        self, fleet: processes.Fleet, lost: int
+    ) -> None:
+        """Guards against a lost update or two writers told of success."""
+        fleet.start_platform()
+        platform = client.ObjectClient(fleet.platform_url)
+        key = "records/service/catalogue"
+        value = {"schema_version": 2, "kind": "service", "name": "catalogue"}
+        revision = platform.put(key, value)
+        set_faults(fleet, delay_ms=300, lose_write_answers=lost)
+        writers = []
+        for number in range(2):
+            path = fleet.directory / f"{number}.json"
+            path.write_text(json.dumps(value | {"number": number}))
+            command = ["apply", str(path), f"--expected_revision={revision}"]
+            url = f"--platform_url={fleet.platform_url}"
+            writers.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "sapphirelift.operators.cli"]
+                    + [*command, url],
+                    stderr=subprocess.PIPE,
+                    stdout=subprocess.DEVNULL,
+                )
+            )
+        messages = [writer.communicate()[1].decode() for writer in writers]
+        statuses = [writer.returncode for writer in writers]
+        assert sorted(statuses) == [0, 4]
+        held = platform.get(key)
+        assert held is not None
+        assert held.value is not None
+        assert held.value["number"] == statuses.index(0)
+        assert f"revision {held.revision}" in messages[statuses.index(4)]
+
+
+class TestStatusObject:
+    """The status that the lease holder writes."""
+
+    def test_paused_holder_writes_nothing_after_waking(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against a status that falls back to an earlier term."""
+        start(fleet, balancers=3)
+        platform = client.ObjectClient(fleet.platform_url, calls_per_s=100)
+
+        def written(term: int) -> Any:
+            held = platform.get("status/cluster")
+            if held is None or held.value is None:
+                return None
+            return held.value if held.value["term"] >= term else None
+
+        first = processes.wait_until(lambda: written(1))
+        revision = withdraw(fleet, "etela-b")
+        holder = fleet.processes[first["writer"]]
+        holder.send_signal(signal.SIGSTOP)
+        second = processes.wait_until(lambda: written(first["term"] + 1))
+        assert second["writer"] != first["writer"]
+        holder.send_signal(signal.SIGCONT)
+        term, end_s = second["term"], time.monotonic() + 5
+        while time.monotonic() < end_s:
+            value = written(term)
+            assert value is not None
+            assert value["writer"] == second["writer"]
+            term = value["term"]
+            time.sleep(0.05)
+        processes.wait_until(
+            lambda: (
+                len((written(1) or {})["observed_revisions"]) == 5
+                and min((written(1) or {})["observed_revisions"].values())
+                >= revision
+            )
+        )
+        value = written(1)
+        assert sum(value["daemons_by_revision"].values()) == 5
+        kinds = {c["kind"]: c for c in value["conditions"]}
+        assert kinds["data_centre_withdrawn"]["subject"] == "etela-b"
--- /dev/null
+++ b/tests/test_platform_client.py
@@ -0,0 +1,177 @@
+"""The platform client against the stand-in."""
+
+import random
+import threading
+import time
+from typing import Any
+
+import pytest
+
+from sapphirelift import errors
+from sapphirelift.core import backoff
+from sapphirelift.core import rate_limit
+from sapphirelift.platform import client
+from tests import processes
+
+KEY = "records/service/catalogue"
+
+
+def connect(fleet: processes.Fleet) -> client.ObjectClient:
+    """Starts the stand-in and returns a client."""
+    fleet.start_platform()
+    return client.ObjectClient(fleet.platform_url, calls_per_s=100)
+
+
+def set_faults(fleet: processes.Fleet, **faults: Any) -> None:
+    """Sets the faults of the stand-in."""
+    processes.post_json(fleet.platform_port, "/faults", faults)
+
+
+class _Overtaken(client.ObjectClient):
+    """Loses each answer to a write; runs ``meanwhile`` before it reads back."""
+
+    meanwhile: Any = None
+
+    def _call(self, kind: str, *args: Any, **options: Any) -> Any:
+        answer = super()._call(kind, *args, **options)
+        if kind in ("put", "delete"):
+            if self.meanwhile is not None:
+                self.meanwhile()
+            raise errors.PlatformUnavailableError("answer lost")
+        return answer
+
+
+class TestLostAnswers:
+    """A write whose answer was lost."""
+
+    def test_write_and_deletion_are_recognised(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against a false conflict or a repeat of the own write."""
+        platform = connect(fleet)
+        set_faults(fleet, lose_write_answers=1)
+        revision = platform.put(KEY, {"a": 1}, expected_revision=0)
+        held = platform.get(KEY)
+        assert held is not None
+        assert held.revision == revision
+        set_faults(fleet, lose_write_answers=1)
+        platform.delete(KEY, expected_revision=revision)
+        assert platform.get(KEY) is None
+
+    def test_write_that_was_overtaken_is_unknown(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against success or conflict claimed without proof."""
+        other = connect(fleet)
+        platform = _Overtaken(fleet.platform_url, calls_per_s=100)
+        platform.meanwhile = lambda: other.put(KEY, {"a": 2})
+        with pytest.raises(errors.WriteUnknownError):
+            platform.put(KEY, {"a": 1}, expected_revision=0)
+        held = other.get(KEY)
+        assert held is not None
+        with pytest.raises(errors.WriteUnknownError):
+            platform.delete(KEY, expected_revision=held.revision)
+        platform.meanwhile = lambda: other.delete(KEY)
+        with pytest.raises(errors.WriteUnknownError):
+            platform.put(KEY, {"a": 3})
+
+    def test_deletion_by_another_is_unknown(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against another writer's deletion taken for the own one."""
+        other = connect(fleet)
+        revision = other.put(KEY, {"a": 1})
+        platform = client.ObjectClient(fleet.platform_url, calls_per_s=100)
+
+        def fail(*args: Any, **options: Any) -> Any:
+            other.delete(KEY)
+            platform._call = call  # type: ignore[method-assign]
+            raise errors.PlatformUnavailableError("call lost")
+
+        call = platform._call
+        platform._call = fail  # type: ignore[method-assign]
+        with pytest.raises(errors.WriteUnknownError):
+            platform.delete(KEY, expected_revision=revision)
+
+    def test_outage_while_reading_back_is_unknown(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against a write given up as not done."""
+        platform = connect(fleet)
+        set_faults(fleet, down=True)
+        with pytest.raises(errors.WriteUnknownError):
+            platform.put(KEY, {"a": 1})
+        assert platform.calls == {"put": 1, "read_back": client.READ_BACKS}
+        assert platform.failures == platform.calls
+
+
+class TestWatch:
+    """Waiting for changes."""
+
+    def test_silent_watch_ends_and_a_new_one_works(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against a wait without end on a dead connection."""
+        platform = connect(fleet)
+        set_faults(fleet, silent_watches=1)
+        started_s = time.monotonic()
+        with pytest.raises(errors.PlatformUnavailableError):
+            platform.watch("records/", since=1, wait_ms=1000)
+        assert time.monotonic() - started_s < 5
+        timer = threading.Timer(
+            0.3, connect_again(fleet).put, args=(KEY, {"a": 1})
+        )
+        timer.start()
+        listing = platform.watch("records/", since=1, wait_ms=2000)
+        timer.join()
+        assert [item.key for item in listing.objects] == [KEY]
+
+    def test_gap_in_history_gives_the_full_list(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against changes skipped beyond the platform's memory."""
+        platform = connect(fleet)
+        for number in range(5):
+            platform.put(f"records/service/s{number}", {})
+        assert not platform.watch("records/", since=2, wait_ms=0).complete
+        set_faults(fleet, history_changes=2)
+        listing = platform.watch("records/", since=2, wait_ms=0)
+        assert listing.complete
+        assert len(listing.objects) == 5
+
+
+def connect_again(fleet: processes.Fleet) -> client.ObjectClient:
+    """Returns another client."""
+    return client.ObjectClient(fleet.platform_url)
+
+
+class TestRates:
+    """How often the platform is called."""
+
+    def test_bucket_permits_burst_then_rate(self) -> None:
+        """Guards against a loop that floods the platform."""
+        bucket = rate_limit.TokenBucket(rate_per_s=2, burst=3)
+        delays = [bucket.reserve_ms(now_ms=0) for _ in range(5)]
+        assert delays == [0, 0, 0, 500, 1000]
+        assert bucket.reserve_ms(now_ms=60_000) == 0
+
+    def test_client_keeps_to_its_rate(self, fleet: processes.Fleet) -> None:
+        """Guards against a limit that is computed and not obeyed."""
+        fleet.start_platform()
+        platform = client.ObjectClient(fleet.platform_url, calls_per_s=10)
+        started_s = time.monotonic()
+        for _ in range(client.BURST_CALLS + 5):
+            platform.get(KEY)
+        assert time.monotonic() - started_s >= 0.4
+        calls = processes.get_json(fleet.platform_port, "/calls")
+        assert calls["GET"] == platform.calls["get"]
+
+    def test_back_off_grows_with_jitter(self) -> None:
+        """Guards against clients that retry in step."""
+        delays = backoff.Backoff(random.Random(1), min_s=1, max_s=4)
+        drawn = [delays.next_s() for _ in range(6)]
+        assert len(set(drawn)) == 6
+        assert all(
+            limit / 2 <= delay <= limit
+            for limit, delay in zip((1, 2, 4, 4, 4, 4), drawn, strict=True)
+        )
