Read unlisted records one by one before a full list deletes them

Cause: a full list from a lagging part of the platform that names the current revision is the same as one after a deletion; two such lists in a row put withdrawn data centres back into service (test_stale_reads_and_restarted_store_revert_nothing failed). Ruled out: waiting for more lists, since the lag has no bound. Conclusion: each record that a list lacks is read on its own; the test passes.

--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -161,8 +161,9 @@
         self._older_reads = 0
         before = self.replica.revision
         if listing.complete:
+            found = self._read_unlisted(listing)
             changes = self.replica.replace(
-                listing.objects,
+                [*listing.objects, *found],
                 revision=listing.revision,
                 # After a restart at a lower revision, an object that is
                 # missing was lost and not deleted.
@@ -174,6 +175,23 @@
             self._on_changes(changes)
         return not listing.complete or self.replica.revision > before
 
+    def _read_unlisted(
+        self, listing: client.Listing
+    ) -> list[replica.StoredObject]:
+        """Reads the records that a full list lacks, one by one.
+
+        A list from a lagging part of the platform cannot be told from one
+        after a deletion, and a second list may lag as well. A read of a single
+        object is taken to be current. Members need no such reads: those that
+        are alive announce themselves again.
+        """
+        if self.platform_reverted:
+            return []
+        keys = self.replica.unlisted(listing.objects, "records/")
+        found = [item for k in keys if (item := self.platform.get(k))]
+        self.counters["lagging_lists"] += bool(found)
+        return found
+
     def _refuse_older(self, revision: int) -> None:
         self.counters["older_answers_refused"] += 1
         self._older_reads += 1
--- a/sapphirelift/core/replica.py
+++ b/sapphirelift/core/replica.py
@@ -145,6 +145,13 @@
             [*listed.values(), *removed], revision=revision, floor=revision
         )
 
+    def unlisted(
+        self, objects: Iterable[StoredObject], prefix: str
+    ) -> list[str]:
+        """Returns the keys of live objects that a full list lacks."""
+        listed = {item.key for item in objects}
+        return [i.key for i in self.items(prefix) if i.key not in listed]
+
     def _apply(
         self, changes: Iterable[StoredObject], *, revision: int, floor: int
     ) -> list[StoredObject]:
