--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -74,7 +74,6 @@
             rate_per_s=1 / RESYNC_INTERVAL_S, burst=1
         )
         self._resync_pending = False
-        self._poll_next = False
 
     def start(self) -> None:
         """Starts to serve the replica and to follow the platform."""
@@ -116,21 +115,15 @@
                 return
 
     def _watch(self, since: int) -> bool:
-        # A platform that answers slowly looks like a silent watch; a read
-        # without waiting after it tells them apart and gets the changes.
-        waits = not self._poll_next
-        self._poll_next = False
         try:
             listing = self.platform.watch(
-                *PREFIXES, since=since, wait_ms=WATCH_WAIT_MS if waits else 0
+                *PREFIXES, since=since, wait_ms=WATCH_WAIT_MS
             )
         except errors.PlatformUnavailableError:
             self.counters["watches_failed"] += 1
-            self._poll_next = waits
             self._set_watch_silent(True)
             raise
-        if waits:
-            self._set_watch_silent(False)
+        self._set_watch_silent(False)
         return self._apply_listing(listing, since=since)
 
     def _set_watch_silent(self, silent: bool) -> None:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -1,16 +1,24 @@
 """Records, announcements and status through real processes."""
 
 import json
+import random
 import signal
 import subprocess
 import sys
 import time
 from typing import Any
 
+import eventlet
 import pytest
 
+from sapphirelift import _announcer
+from sapphirelift import _record_sync
+from sapphirelift import messages
+from sapphirelift import settings as settings_module
 from sapphirelift.callers import client as caller_client
 from sapphirelift.core import outcomes
+from sapphirelift.core import replica
+from sapphirelift.peers import records
 from sapphirelift.platform import client
 from tests import processes
 
@@ -121,6 +129,7 @@
             )
         )
         # The store grows past the revision in force without the old records.
+        set_faults(fleet, history_changes=0)
         writer = client.ObjectClient(fleet.platform_url, calls_per_s=1000)
         for number in range(max(in_force.values()) + 5):
             writer.put("records/service/filler", {"number": number})
@@ -179,9 +188,95 @@
             caller.close()
 
 
+class TestNeighbours:
+    """The start of an instance while the platform is down."""
+
+    def test_newest_of_all_neighbours_is_taken(self) -> None:
+        """Guards against an old record set because its holder was first."""
+        key = bytes.fromhex(processes.CLUSTER_KEY_HEX)
+        peers = [
+            messages.Address("127.0.0.1", processes.free_port())
+            for _ in range(4)
+        ]
+        servers = []
+        for revision, address in zip((5, 9, 7), peers[1:], strict=True):
+            held = replica.Replica()
+            stored = replica.StoredObject("records/a/b", revision, {})
+            held.apply([stored], revision=revision)
+            servers.append(records.RecordServer(address, held, key=key))
+            servers[-1].start()
+        closed = processes.free_port()
+        settings = {
+            "name": "balancer-9",
+            "role": "balancer",
+            "data_centre": "etela-a",
+            "peer": peers[0]._asdict(),
+            "public": peers[0]._asdict(),
+            "admin": {"ip": "127.0.0.1", "port": closed},
+            "platform_url": f"http://127.0.0.1:{closed}",
+            "cluster_key_hex": processes.CLUSTER_KEY_HEX,
+            "neighbours": [
+                {"ip": "127.0.0.1", "port": closed},
+                *(address._asdict() for address in peers[1:]),
+            ],
+        }
+        sync = _record_sync.RecordSync(
+            settings_module.parse(json.dumps(settings).encode()),
+            on_changes=lambda changes: None,
+            rng=random.Random(1),
+        )
+        sync.start()
+        with eventlet.Timeout(10):
+            while sync.counters["fetches"] < 3:
+                eventlet.sleep(0.05)
+        held_object = sync.replica.get("records/a/b")
+        assert held_object is not None
+        assert held_object.revision == 9
+        assert sync.replica.revision == 9
+        for server in [*servers, sync.server]:
+            server.stop()
+
+
+class _Overtaken(client.ObjectClient):
+    """Runs ``meanwhile`` once after a read."""
+
+    meanwhile: Any = None
+
+    def get(self, key: str) -> replica.StoredObject | None:
+        """Reads an object; another writer changes it afterwards."""
+        held = super().get(key)
+        meanwhile, self.meanwhile = self.meanwhile, None
+        if meanwhile is not None:
+            meanwhile()
+        return held
+
+
 class TestAnnouncement:
     """The member object of a daemon."""
 
+    def test_newer_incarnation_written_meanwhile_stays(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against a write that does not depend on what was read."""
+        fleet.start_platform()
+        other = client.ObjectClient(fleet.platform_url)
+        platform = _Overtaken(fleet.platform_url)
+        platform.meanwhile = lambda: other.put("members/a", {"incarnation": 2})
+        announcer = _announcer.Announcer(
+            platform,
+            key="members/a",
+            announcement=lambda: {"incarnation": 1},
+            rng=random.Random(1),
+        )
+        announcer.announce()
+        with eventlet.Timeout(10):
+            while not announcer.counters["announcements_superseded"]:
+                eventlet.sleep(0.05)
+        held = other.get("members/a")
+        assert held is not None
+        assert held.value == {"incarnation": 2}
+        assert announcer.counters["announcements_failed"] == 1
+
     def test_newer_incarnation_is_not_overwritten(
         self, fleet: processes.Fleet
     ) -> None:
@@ -240,14 +335,14 @@
                     stdout=subprocess.DEVNULL,
                 )
             )
-        messages = [writer.communicate()[1].decode() for writer in writers]
+        printed = [writer.communicate()[1].decode() for writer in writers]
         statuses = [writer.returncode for writer in writers]
         assert sorted(statuses) == [0, 4]
         held = platform.get(key)
         assert held is not None
         assert held.value is not None
         assert held.value["number"] == statuses.index(0)
-        assert f"revision {held.revision}" in messages[statuses.index(4)]
+        assert f"revision {held.revision}" in printed[statuses.index(4)]
 
 
 class TestStatusObject:
--- a/tests/test_key_rotation.py
+++ b/tests/test_key_rotation.py
@@ -4,6 +4,8 @@
 import time
 
 import eventlet
+import grpc
+import msgspec
 import pytest
 
 from sapphirelift import errors
@@ -77,6 +79,12 @@
             assert records.fetch(address, since=0, key=FIRST).revision == 3
             with pytest.raises(errors.FetchError):
                 records.fetch(address, since=0, key=SECOND)
+            target = f"{address.ip}:{address.port}"
+            with grpc.insecure_channel(target) as channel:
+                call = channel.unary_unary("/sapphirelift.Records/Fetch")
+                forged = records.FetchRequest(0, bytes(16), bytes(16))
+                with pytest.raises(grpc.RpcError, match="UNAUTHENTICATED"):
+                    call(msgspec.msgpack.encode(forged), timeout=5)
         finally:
             server.stop()
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -27,7 +27,8 @@
         """Guards against a stale read that reverts what is in force."""
         held = filled()
         assert held.apply([stored(KEY, 9)], revision=12) == []
-        assert held.replace([stored(KEY, 9)], revision=9) == []
+        for _ in range(2):
+            assert held.replace([stored(KEY, 9)], revision=9) == []
         assert held.get(KEY) == stored(KEY, 10)
         assert held.get(OTHER) is not None
 
