Keep members that a lagging full list lacks

Cause: full lists without the last changes deleted the members at all daemons. A claim left by the first list of a start also confirmed a later list and lost a deletion (test_first_list_of_a_start_confirms_no_later_one failed first). Ruled out: the restart of the store alone; without the lagging lists before it all daemons followed within 3 s. Conclusion: up to 16 missing members are read one by one, more are kept; the announcement is written again even if unchanged; a claim lasts only until the next answer of a watch.

--- a/sapphirelift/_announcer.py
+++ b/sapphirelift/_announcer.py
@@ -78,14 +78,11 @@
         """Writes once; returns False if a newer incarnation has announced."""
         value = self._announcement()
         held = self._platform.get(self._key)
-        if held is not None and held.value is not None:
-            if held.value.get("incarnation", 0) > value["incarnation"]:
-                self.counters["announcements_superseded"] += 1
-                eliot.log_message("announcement_superseded", key=self._key)
-                return False
-            if held.value == value:
-                self.announced = value
-                return True
+        found = (held.value or {}) if held is not None else {}
+        if found.get("incarnation", 0) > value["incarnation"]:
+            self.counters["announcements_superseded"] += 1
+            eliot.log_message("announcement_superseded", key=self._key)
+            return False
         self._platform.put(
             self._key,
             value,
--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -27,6 +27,8 @@
 # store is taken to have been restarted; a lagging read is shorter.
 REVERTED_READS = 5
 MAX_FETCHES = 4
+# At two reads a second and a burst of ten, these take 3 s.
+MAX_MEMBER_READS = 16
 # After an outage, a change is in force within this delay and the two hops by
 # heartbeat to the agents, which together stay below 7 s. During an outage 840
 # balancers make about 370 calls a second.
@@ -175,15 +177,21 @@
 
         A list from a lagging part of the platform cannot be told from one
         after a deletion, and a second list may lag as well. A read of a single
-        object is taken to be current. Members need no such reads: those that
-        are alive announce themselves again.
+        object is taken to be current. Many members are kept unread: those
+        that are dead are known from their heartbeats.
         """
         if self.platform_reverted:
             return []
-        keys = self.replica.unlisted(listing.objects, "records/")
-        found = [item for k in keys if (item := self.platform.get(k))]
+        missing = self.replica.unlisted(listing.objects, "records/")
+        members = self.replica.unlisted(listing.objects, "members/")
+        kept = []
+        if len(members) > MAX_MEMBER_READS:
+            kept = members
+        else:
+            missing += members
+        found = [i for m in missing if (i := self.platform.get(m.key))]
         self.counters["lagging_lists"] += bool(found)
-        return found
+        return found + kept
 
     def _refuse_older(self, revision: int) -> None:
         self.counters["older_answers_refused"] += 1
--- a/sapphirelift/core/replica.py
+++ b/sapphirelift/core/replica.py
@@ -94,6 +94,7 @@
         believed it would never ask for that change again.
         """
         newest = max((item.revision for item in changes), default=0)
+        self._claim = None
         return self.apply(changes, revision=newest)
 
     def replace(
@@ -128,29 +129,28 @@
             if not keep_missing
         }
         claim = self._claim
-        agreed = claim is not None and revision >= claim.revision
+        agreed = trusted or (
+            claim is not None
+            and revision >= claim.revision
+            and missing.items() <= claim.missing.items()
+        )
         self._claim = None if agreed else _Claim(revision, missing)
-        if not agreed and not trusted:
+        if not agreed:
             known = 0 if missing else newest
             # Deletions between the objects' revisions are not known.
             floor = max(self._state.floor, known)
             return self._apply(listed.values(), revision=known, floor=floor)
-        before = missing if claim is None or trusted else claim.missing
-        removed = [
-            StoredObject(key, revision, None)
-            for key, held_revision in missing.items()
-            if before.get(key) == held_revision
-        ]
+        removed = [StoredObject(key, revision, None) for key in missing]
         return self._apply(
             [*listed.values(), *removed], revision=revision, floor=revision
         )
 
     def unlisted(
         self, objects: Iterable[StoredObject], prefix: str
-    ) -> list[str]:
-        """Returns the keys of live objects that a full list lacks."""
+    ) -> list[StoredObject]:
+        """Returns the live objects that a full list lacks."""
         listed = {item.key for item in objects}
-        return [i.key for i in self.items(prefix) if i.key not in listed]
+        return [i for i in self.items(prefix) if i.key not in listed]
 
     def _apply(
         self, changes: Iterable[StoredObject], *, revision: int, floor: int
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -50,6 +50,15 @@
         assert held.apply([stored(KEY, 11)], revision=12) == []
         assert held.get(KEY) is None
 
+    def test_first_list_of_a_start_confirms_no_later_one(self) -> None:
+        """Guards against a deletion lost to a claim from long ago."""
+        held = replica.Replica()
+        held.replace([stored(KEY, 10), stored(OTHER, 4)], revision=10)
+        for revision, in_force in ((12, True), (12, False)):
+            held.replace([stored(OTHER, 4)], revision=revision)
+            assert (held.get(KEY) is not None) == in_force
+            assert held.revision == (10 if in_force else 12)
+
     def test_first_list_does_not_skip_an_unlisted_change(self) -> None:
         """Guards against a change that is never asked for again."""
         held = replica.Replica()
