Add failure detection, return path and freeze handling

A process that was frozen itself blames nobody. Heartbeats leave from a socket that is replaced after 3 s without an answer, and so does the caller library's socket.

--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -39,6 +39,7 @@
                 slots=backend.slots, max_flows=backend.max_flows
             ),
             ring=self.ring,
+            members=self.members,
         )
         self._backend = backend_client.BackendClient(
             messages.Address(backend.ip, backend.port), slots=backend.slots
--- a/sapphirelift/_balancer_node.py
+++ b/sapphirelift/_balancer_node.py
@@ -2,9 +2,11 @@
 
 from typing import Any
 
+import eliot
 import eventlet
 
 from sapphirelift import _node
+from sapphirelift import clock
 from sapphirelift import messages
 from sapphirelift import settings as settings_module
 from sapphirelift.core import actions
@@ -13,6 +15,7 @@
 from sapphirelift.peers import endpoint
 
 QUIET_S = 1.0
+WATCHDOG_S = 0.25
 
 
 class BalancerNode(_node.Node):
@@ -24,6 +27,8 @@
         self.core = balancer.BalancerCore(
             address=self.peer.address, members=self.members, ring=self.ring
         )
+        self._epoch = 0
+        self._resumed_sequence = 0
         self.public = endpoint.Endpoint(
             settings.public.address, self._on_caller_datagram
         )
@@ -32,14 +37,48 @@
         """Starts all tasks."""
         super().start()
         self.public.start()
+        eventlet.spawn(self._watch_own_clock)
+
+    def _watch_own_clock(self) -> None:
+        """Asks the neighbours for their revision after a freeze."""
+        while True:
+            eventlet.sleep(WATCHDOG_S)
+            self.current_epoch()
+            if not self.core.freshness.is_fresh(clock.now_ms()):
+                self._beat()
+
+    def current_epoch(self) -> int:
+        """Returns a number that changes when the process was frozen."""
+        freshness = self.core.freshness
+        freshness.observe(clock.now_ms())
+        if freshness.gaps != self._epoch:
+            self._epoch = freshness.gaps
+            self._resumed_sequence = self.heartbeats.sequence + 1
+            eliot.log_message("resumed_after_freeze")
+            self._beat()
+        return self._epoch
+
+    def on_records_read(self, epoch: int) -> None:
+        """Called when records asked for in ``epoch`` are in force."""
+        if epoch == self.current_epoch():
+            self.core.freshness.compared()
+
+    def on_revision_confirmed(self, sequence: int) -> None:
+        """Accepts only answers to heartbeats sent after the last freeze.
+
+        Older answers may have waited in the socket's buffer.
+        """
+        self.current_epoch()
+        if sequence >= self._resumed_sequence:
+            self.core.freshness.compared()
 
     def stop(self) -> None:
         """Stops by plan: forwards until callers have gone elsewhere."""
         self.announce_state(membership.LEAVING)
         with eventlet.Timeout(self.settings.stop_timeout_ms / 1000, False):
             seen = -1
-            while seen != self.public.datagrams_received:
-                seen = self.public.datagrams_received
+            while seen != self.core.packets:
+                seen = self.core.packets
                 eventlet.sleep(QUIET_S)
 
     def set_withdrawn(self, data_centres: set[str]) -> None:
@@ -56,7 +95,9 @@
     def _on_caller_datagram(
         self, data: bytes, address: tuple[str, int]
     ) -> None:
-        action = self.core.on_caller_datagram(data, address)
+        action = self.core.on_caller_datagram(
+            data, address, now_ms=clock.now_ms()
+        )
         match action:
             case actions.SendPeer(agent, datagram):
                 self.peer.send(datagram, agent)
--- a/sapphirelift/_node.py
+++ b/sapphirelift/_node.py
@@ -41,10 +41,15 @@
         )
         self.state = membership.UP
         self.replica = replica.Replica()
-        self.members = membership.Membership()
+        self.members = membership.Membership(
+            own_name=settings.name, repairs=settings.role == "balancer"
+        )
         self.peer = endpoint.Endpoint(
             settings.peer.address, self._on_peer_datagram
         )
+        # Heartbeats leave from a socket of their own, which is replaced when
+        # its path goes silent; the peer address stays.
+        self.control = self._new_control_socket()
         self.heartbeats = heartbeats.Heartbeats(
             name=settings.name,
             role=settings.role,
@@ -84,6 +89,7 @@
         """Starts all tasks."""
         self.record_server.start()
         self.peer.start()
+        self.control.start()
         self.admin.start()
         eventlet.spawn(self._beat_forever)
         eventlet.spawn(self._follow_platform)
@@ -99,18 +105,47 @@
             "revision": self.replica.revision,
             "platform_calls": self.platform.calls,
             "peer_bytes_sent": self.peer.bytes_sent,
+            "control_bytes_sent": self.control.bytes_sent,
             "drops": self.drops,
+            "membership": dict(self.members.counters),
             "members": {
                 m.name: {
                     "role": m.role,
                     "state": m.state,
                     "suspected": m.suspected,
+                    "marked": m.marked,
                     "incarnation": m.incarnation,
                 }
                 for m in self.members.members.values()
             },
         }
 
+    def _new_control_socket(self) -> endpoint.Endpoint:
+        return endpoint.Endpoint(
+            messages.Address(self.settings.peer.ip, 0), self._on_peer_datagram
+        )
+
+    def _replace_control_socket(self) -> None:
+        former, self.control = self.control, self._new_control_socket()
+        self.control.bytes_sent = former.bytes_sent
+        self.control.start()
+        former.stop()
+        self._count_drop("control_socket_silent")
+
+    def current_epoch(self) -> int:
+        """Returns a number that changes when the process was frozen."""
+        return 0
+
+    def on_records_read(self, epoch: int) -> None:
+        """Called when records asked for in ``epoch`` are in force."""
+
+    def on_revision_confirmed(self, sequence: int) -> None:
+        """Called when a watcher knows no newer revision than this process.
+
+        Args:
+            sequence: Sequence number of the heartbeat that it answers.
+        """
+
     # Records.
 
     def apply_changes(self, changes: Iterable[replica.StoredObject]) -> None:
@@ -118,6 +153,8 @@
         for change in changes:
             if change.key.startswith(MEMBERS):
                 self._apply_member(change)
+            if change.key == self._member_key:
+                self._check_own_announcement(change)
         out = {
             item.key.removeprefix(DATA_CENTRES)
             for item in self.replica.items(DATA_CENTRES)
@@ -135,9 +172,17 @@
             self.members.remove(name, revision=change.revision)
         else:
             self.members.apply_announcement(
-                change.value, revision=change.revision
+                change.value, revision=change.revision, key=change.key
             )
 
+    def _check_own_announcement(self, change: replica.StoredObject) -> None:
+        """Announces again when watchers have taken this process for dead."""
+        value = change.value
+        if value is None or (
+            value["incarnation"] == self.incarnation and value.get("suspected")
+        ):
+            eventlet.spawn(self._announce)
+
     def _apply_listing(self, listing: client.Listing) -> None:
         if listing.complete:
             changes = self.replica.replace(
@@ -160,6 +205,7 @@
                     if self.settings.role == "agent":
                         return
                 else:
+                    epoch = self.current_epoch()
                     self._apply_listing(
                         self.platform.watch(
                             "",
@@ -167,6 +213,7 @@
                             wait_ms=WATCH_WAIT_MS,
                         )
                     )
+                    self.on_records_read(epoch)
                 backoff_s = MIN_BACKOFF_S
             except errors.PlatformUnavailableError:
                 if self.replica.revision == 0:
@@ -184,9 +231,11 @@
             return
         self._fetching = True
         try:
+            epoch = self.current_epoch()
             reply = records.fetch(address, since=self.replica.revision)
             changes = self.replica.apply(reply.objects, revision=reply.revision)
             self.apply_changes(changes)
+            self.on_records_read(epoch)
         except errors.FetchError:
             self._count_drop("fetch_failed")
         finally:
@@ -231,6 +280,7 @@
 
     def _beat_forever(self) -> None:
         while True:
+            self.carry_out(self.members.tick(clock.now_ms()))
             self._beat()
             interval_s = self.settings.heartbeat_interval_ms / 1000
             eventlet.sleep(interval_s * self.rng.uniform(0.9, 1.1))
@@ -241,10 +291,9 @@
                 state=self.state,
                 load=self.load,
                 revision=self.replica.revision,
+                now_ms=clock.now_ms(),
             )
         )
-        for member in self.members.tick(clock.now_ms()):
-            eliot.log_message("member_suspected", name=member.name)
 
     def announce_state(self, state: str) -> None:
         """Changes the state and tells watchers and platform."""
@@ -270,12 +319,15 @@
                     )
                     self.carry_out(out)
                 case messages.Kind.HEARTBEAT_ACK:
+                    ack = wire.decode_body(kind, body)
                     out = self.heartbeats.on_ack(
-                        wire.decode_body(kind, body),
+                        ack,
                         sender,
                         revision=self.replica.revision,
                         now_ms=clock.now_ms(),
                     )
+                    if not out:
+                        self.on_revision_confirmed(ack.sequence)
                     self.carry_out(out)
                 case _:
                     self.on_peer_datagram(kind, body, sender)
@@ -297,6 +349,14 @@
             match action:
                 case actions.SendPeer(address, data):
                     self.peer.send(data, address)
+                case actions.SendControl(address, data):
+                    self.control.send(data, address)
+                case actions.ReplaceControlSocket():
+                    self._replace_control_socket()
+                case actions.MarkMember(key, revision, value):
+                    eventlet.spawn(self._mark_member, key, revision, value)
+                case actions.DeleteMember(key, revision):
+                    eventlet.spawn(self._delete_member, key, revision)
                 case actions.FetchRecords(address):
                     eventlet.spawn(self.fetch_records, address)
                 case actions.LogState(event, fields):
@@ -304,6 +364,24 @@
                 case _:
                     self.carry_out_own(action)
 
+    def _mark_member(
+        self, key: str, revision: int, value: dict[str, Any]
+    ) -> None:
+        try:
+            self.platform.put(key, value, expected_revision=revision)
+        except errors.ConflictError:
+            self._count_drop("mark_conflict")
+        except errors.PlatformUnavailableError:
+            self._count_drop("mark_failed")
+
+    def _delete_member(self, key: str, revision: int) -> None:
+        try:
+            self.platform.delete(key, expected_revision=revision)
+        except errors.ConflictError:
+            self._count_drop("delete_conflict")
+        except errors.PlatformUnavailableError:
+            self._count_drop("delete_failed")
+
     def carry_out_own(self, action: actions.Action) -> None:
         """Carries out an action that only one role has."""
         raise NotImplementedError
--- a/sapphirelift/callers/client.py
+++ b/sapphirelift/callers/client.py
@@ -16,6 +16,8 @@
 from sapphirelift.peers import endpoint
 
 TICK_S = 0.02
+# Below the time after which the core gives up a silent flow (6 s).
+SILENCE_MS = 3000
 
 
 class Caller:
@@ -37,10 +39,10 @@
         self.balancers = list(balancers)
         self._rng = random.Random(seed)
         self.core = caller.CallerCore(rng=self._rng, budget=budget)
-        self._endpoint = endpoint.Endpoint(
-            messages.Address(ip, 0), self._on_datagram
-        )
-        self._endpoint.start()
+        self._ip = ip
+        self._unanswered_ms: int | None = None
+        self.replaced_sockets = 0
+        self._endpoint = self._open_endpoint()
         self._ticker = eventlet.spawn(self._tick)
         self._waiting: dict[int, eventlet.event.Event] = {}
         self._opening: dict[int, eventlet.event.Event] = {}
@@ -99,19 +101,46 @@
         self._ticker.kill()
         self._endpoint.stop()
 
+    def _open_endpoint(self) -> endpoint.Endpoint:
+        opened = endpoint.Endpoint(
+            messages.Address(self._ip, 0), self._on_datagram
+        )
+        opened.start()
+        return opened
+
+    def _replace_silent_endpoint(self) -> None:
+        """Takes another source port when nothing has been heard for long.
+
+        A path may go silent for good while new ones work. Agents answer to
+        the address of the last packet that carries the flow's token.
+        """
+        unanswered_ms = self._unanswered_ms
+        if unanswered_ms is None:
+            return
+        if clock.now_ms() - unanswered_ms < SILENCE_MS:
+            return
+        former, self._endpoint = self._endpoint, self._open_endpoint()
+        former.stop()
+        self._unanswered_ms = None
+        self.replaced_sockets += 1
+
     def _on_datagram(self, data: bytes, address: tuple[str, int]) -> None:
         del address
+        self._unanswered_ms = None
         self._carry_out(self.core.receive(data, now_ms=clock.now_ms()))
 
     def _tick(self) -> None:
         while True:
             eventlet.sleep(TICK_S)
+            self._replace_silent_endpoint()
             self._carry_out(self.core.tick(clock.now_ms()))
 
     def _carry_out(self, outputs: list[caller.Output]) -> None:
         for output in outputs:
             match output:
                 case caller.SendDatagram(data):
+                    if self._unanswered_ms is None:
+                        self._unanswered_ms = clock.now_ms()
                     balancer = self._rng.choice(self.balancers)
                     self._endpoint.send(data, balancer)
                 case _:
--- a/sapphirelift/core/actions.py
+++ b/sapphirelift/core/actions.py
@@ -54,6 +54,36 @@
     address: messages.Address
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendControl:
+    """Sends a datagram from the control socket."""
+
+    address: messages.Address
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplaceControlSocket:
+    """Opens a new control socket, with another source port."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MarkMember:
+    """Marks the object of a silent member, if it is unchanged."""
+
+    key: str
+    revision: int
+    value: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeleteMember:
+    """Deletes the object of a dead member, if it is unchanged."""
+
+    key: str
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogState:
     """Logs a change of state.
@@ -67,4 +97,15 @@
     fields: dict[str, Any]
 
 
-Action = SendPeer | SendCaller | StartRun | CancelRun | FetchRecords | LogState
+Action = (
+    SendPeer
+    | SendCaller
+    | SendControl
+    | ReplaceControlSocket
+    | StartRun
+    | CancelRun
+    | FetchRecords
+    | MarkMember
+    | DeleteMember
+    | LogState
+)
--- a/sapphirelift/core/agent.py
+++ b/sapphirelift/core/agent.py
@@ -83,6 +83,7 @@
         *,
         limits: limits_module.AgentLimits,
         ring: keys.KeyRing,
+        members: membership.Membership | None = None,
     ) -> None:
         self.identity = identity
         self.limits = limits
@@ -91,7 +92,10 @@
         self.withdrawn = False
         self.flows: dict[bytes, flows.Flow] = {}
         self.counters: collections.Counter[str] = collections.Counter()
-        self._out = outbox.Outbox(ring)
+        self._out = outbox.Outbox(
+            ring,
+            return_path=(members or membership.Membership()).return_path,
+        )
         self.requests = requests.Requests(
             limits=limits,
             flow_table=self.flows,
--- a/sapphirelift/core/balancer.py
+++ b/sapphirelift/core/balancer.py
@@ -7,6 +7,7 @@
 from sapphirelift import messages
 from sapphirelift import wire
 from sapphirelift.core import actions
+from sapphirelift.core import freshness
 from sapphirelift.core import keys
 from sapphirelift.core import membership
 from sapphirelift.core import routing
@@ -37,6 +38,7 @@
         self.address = address
         self.members = members
         self.ring = ring
+        self.freshness = freshness.Freshness()
         self.withdrawn: set[str] = set()
         self.withdrawn_ids: set[int] = set()
         self.counters: collections.Counter[str] = collections.Counter()
@@ -47,16 +49,22 @@
         self.withdrawn_ids = {keys.data_centre_id(n) for n in data_centres}
 
     def on_caller_datagram(
-        self, data: bytes, caller: tuple[str, int]
+        self, data: bytes, caller: tuple[str, int], *, now_ms: int
     ) -> actions.SendPeer | actions.SendCaller | None:
         """Routes one datagram of a caller.
 
+        A balancer that was frozen opens no flows before it has compared
+        its revision; the caller repeats its OPEN through another one.
+
         Returns:
             What to send, or None if the datagram was dropped and counted.
         """
         try:
             header = wire.read_caller_header(data)
             if header.kind == _Kind.OPEN:
+                self.freshness.observe(now_ms)
+                if not self.freshness.is_fresh(now_ms):
+                    raise errors.DatagramError("stale_records")
                 return self._route_open(data, caller)
             return self._route_flow(header, data, caller)
         except errors.DatagramError as error:
@@ -113,6 +121,12 @@
             wire.encode_peer(_Kind.OPEN_FORWARD, body, self.ring),
         )
 
+    @property
+    def packets(self) -> int:
+        """Packets carried for flows so far, in both directions."""
+        carried = ("forwarded", "opens_forwarded", "relayed")
+        return sum(self.counters[name] for name in carried)
+
     def _targets(self, service: str) -> list[_Candidate]:
         return [
             _Candidate(m.name, m.weight, m.address)
--- a/sapphirelift/core/heartbeats.py
+++ b/sapphirelift/core/heartbeats.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from sapphirelift import errors
 from sapphirelift import messages
 from sapphirelift import wire
 from sapphirelift.core import actions
@@ -11,6 +12,14 @@
 from sapphirelift.core import routing
 
 WATCHERS = 3
+# A member still sends to watchers that it suspects, so that these do not
+# suspect it in turn when only their answers are lost.
+MAX_RECIPIENTS = 6
+# An answer to an older heartbeat says nothing about the watcher now.
+ACK_WINDOW = 3
+# Sequence numbers of the last answers, by watcher; a daemon sends to a few.
+MAX_ACKED = 256
+CONTROL_SILENCE_MS = 3000
 
 
 class _Watcher(NamedTuple):
@@ -53,25 +62,75 @@
             revision=0,
         )
         self._neighbours = list(neighbours)
+        self._recipients: set[str] = set()
+        self._unanswered_ms: int | None = None
+        self._first_unanswered = 0
+        self._acked: dict[tuple[str, int], int] = {}
+        members.watches = self.watches
 
     def watchers(self) -> list[messages.Address]:
         """Returns the peers that watch this member.
 
         The neighbours of the settings stand in while no balancer is known.
         """
+        ranked = self._ranking(self._beat.name, MAX_RECIPIENTS)
+        chosen = []
+        alive = 0
+        for watcher in ranked:
+            if alive == WATCHERS:
+                break
+            chosen.append(watcher)
+            alive += self.members.members[watcher.name].is_alive
+        self._recipients = {w.name for w in chosen}
+        return [w.address for w in chosen] or self._neighbours
+
+    def _ranking(self, name: str, count: int) -> list[_Watcher]:
+        """Returns the first balancers of the ranking for a member."""
         others = [
             _Watcher(m.name, 1.0, m.address)
-            for m in self.members.with_role("balancer")
-            if m.name != self._beat.name
+            for m in self.members.with_role("balancer", suspected=True)
+            if m.name != name
         ]
-        key = self._beat.name.encode()
-        chosen = routing.candidates(key, others, count=WATCHERS)
-        return [w.address for w in chosen] or self._neighbours
+        return routing.candidates(name.encode(), others, count=count)
+
+    def watches(self, name: str) -> bool:
+        """Tells whether this process expects to hear from a member.
+
+        It hears answers of the members that it sends heartbeats to, and a
+        balancer hears heartbeats of those that it is a watcher of.
+        """
+        if name in self._recipients:
+            return True
+        if self._beat.role != "balancer":
+            return False
+        own = _Watcher(self._beat.name, 1.0, self.address)
+        key = name.encode()
+        own_score = routing.score(key, own)
+        better = (
+            m.name
+            for m in self._ranking(name, WATCHERS)
+            if m.name != own.name and routing.score(key, m) > own_score
+        )
+        return sum(1 for _ in better) < WATCHERS
+
+    @property
+    def sequence(self) -> int:
+        """Sequence number of the last heartbeat."""
+        return self._beat.sequence
+
+    @property
+    def address(self) -> messages.Address:
+        """Peer address of this process."""
+        return messages.Address(self._beat.ip, self._beat.port)
 
     def beat(
-        self, *, state: str, load: float, revision: int
-    ) -> list[actions.SendPeer]:
-        """Returns the next heartbeat for each watcher."""
+        self, *, state: str, load: float, revision: int, now_ms: int
+    ) -> list[actions.Action]:
+        """Returns the next heartbeat for each watcher.
+
+        If no watcher has answered for ``CONTROL_SILENCE_MS``, the path from
+        the control socket may have gone silent; it is replaced.
+        """
         self._beat = self._beat._replace(
             sequence=self._beat.sequence + 1,
             state=state,
@@ -81,7 +140,20 @@
         data = wire.encode_peer(
             messages.Kind.HEARTBEAT, wire.encode_body(self._beat), self.ring
         )
-        return [actions.SendPeer(a, data) for a in self.watchers()]
+        out: list[actions.Action] = []
+        recipients = self.watchers()
+        if self._unanswered_ms is None and recipients:
+            self._unanswered_ms = now_ms
+            self._first_unanswered = self._beat.sequence
+        elif (
+            self._unanswered_ms is not None
+            and now_ms - self._unanswered_ms >= CONTROL_SILENCE_MS
+        ):
+            out.append(actions.ReplaceControlSocket())
+            self._unanswered_ms = now_ms
+            self._first_unanswered = self._beat.sequence
+        out.extend(actions.SendControl(a, data) for a in recipients)
+        return out
 
     def on_heartbeat(
         self,
@@ -107,7 +179,10 @@
         )
         out: list[actions.Action] = [actions.SendPeer(sender, data)]
         if beat.revision > revision:
-            out.append(actions.FetchRecords(sender))
+            # The sender's port is that of its control socket.
+            out.append(
+                actions.FetchRecords(messages.Address(beat.ip, beat.port))
+            )
         return out
 
     def on_ack(
@@ -118,7 +193,16 @@
         revision: int,
         now_ms: int,
     ) -> list[actions.Action]:
-        """Takes over the answer of a watcher."""
+        """Takes over the answer of a watcher; drops replayed ones."""
+        oldest = max(0, self._beat.sequence - ACK_WINDOW)
+        last = self._acked.get((ack.name, ack.incarnation), oldest)
+        if not max(oldest, last) < ack.sequence <= self._beat.sequence:
+            raise errors.DatagramError("replayed")
+        if len(self._acked) >= MAX_ACKED:
+            del self._acked[next(iter(self._acked))]
+        self._acked[(ack.name, ack.incarnation)] = ack.sequence
+        if ack.sequence >= self._first_unanswered:
+            self._unanswered_ms = None
         self.members.apply_ack(ack, now_ms=now_ms)
         if ack.revision > revision:
             return [actions.FetchRecords(sender)]
--- a/sapphirelift/core/outbox.py
+++ b/sapphirelift/core/outbox.py
@@ -1,17 +1,35 @@
 """Actions collected while one event is handled."""
 
+from collections.abc import Callable
+
 from sapphirelift import messages
 from sapphirelift import wire
 from sapphirelift.core import actions
 from sapphirelift.core import flows
 from sapphirelift.core import keys
 
+# Balancer of the last packet and flow key to the balancer to answer through.
+ReturnPath = Callable[[messages.Address, bytes], messages.Address]
+
+
+def _last_balancer(
+    balancer: messages.Address, flow_key: bytes
+) -> messages.Address:
+    del flow_key
+    return balancer
+
 
 class Outbox:
     """Encodes what an agent sends and keeps it until the event is done."""
 
-    def __init__(self, ring: keys.KeyRing) -> None:
+    def __init__(
+        self,
+        ring: keys.KeyRing,
+        *,
+        return_path: ReturnPath = _last_balancer,
+    ) -> None:
         self.ring = ring
+        self._return_path = return_path
         self._actions: list[actions.Action] = []
 
     def take(self) -> list[actions.Action]:
@@ -30,7 +48,8 @@
         data = wire.encode_caller(
             kind, flow.flow_key, body, flow_token=flow.token
         )
-        self.relay(flow.balancer, flow.caller, data)
+        balancer = self._return_path(flow.balancer, flow.flow_key)
+        self.relay(balancer, flow.caller, data)
 
     def relay(
         self,
