--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -65,9 +65,16 @@
         self._events.put(agent.Drain())
         with eventlet.Timeout(self.settings.stop_timeout_ms / 1000, False):
             eventlet.sleep(TICK_S)
-            while self.core.flows or self.core.requests.running:
+            while (
+                self.core.flows
+                or self.core.requests.running
+                or self.core.hand_on.flows
+                or self.core.hand_on.running
+            ):
                 eventlet.sleep(TICK_S)
             eventlet.sleep(FINAL_RESPONSES_S)
+        self._events.put(agent.Release())
+        eventlet.sleep(TICK_S)
 
     def set_withdrawn(self, data_centres: set[str]) -> None:
         """Sets the data centres that operators have taken out."""
@@ -81,6 +88,7 @@
             "counters": dict(self.core.counters),
             "flows": len(self.core.flows),
             "running": self.core.requests.running,
+            "plain_flows": self.core.hand_on.flows,
             "queued": self.core.requests.queued,
             "withdrawn": self.core.withdrawn,
         }
--- a/sapphirelift/_balancer_node.py
+++ b/sapphirelift/_balancer_node.py
@@ -1,5 +1,6 @@
 """The balancer role of the daemon."""
 
+from collections.abc import Iterable
 from typing import Any
 
 import eliot
@@ -9,9 +10,12 @@
 from sapphirelift import clock
 from sapphirelift import messages
 from sapphirelift import settings as settings_module
+from sapphirelift import wire
+from sapphirelift.callers import plain_ports
 from sapphirelift.core import actions
 from sapphirelift.core import balancer
 from sapphirelift.core import membership
+from sapphirelift.core import replica
 from sapphirelift.peers import endpoint
 
 QUIET_S = 1.0
@@ -27,6 +31,9 @@
         self.core = balancer.BalancerCore(
             address=self.peer.address, members=self.members, ring=self.ring
         )
+        self.plain_ports = plain_ports.PlainPorts(
+            settings.public.ip, self._on_plain
+        )
         self._epoch = 0
         self._resumed_sequence = 0
         self.public = endpoint.Endpoint(
@@ -72,6 +79,25 @@
         if sequence >= self._resumed_sequence:
             self.core.freshness.compared()
 
+    def apply_changes(self, changes: Iterable[replica.StoredObject]) -> None:
+        """Brings changed objects into force."""
+        super().apply_changes(changes)
+        self._update_plain_ports()
+
+    def _update_plain_ports(self) -> None:
+        wanted = plain_ports.wanted_ports(self.replica)
+        self.plain_ports.update(wanted)
+        self.core.plain.tick(set(wanted), clock.now_ms())
+
+    def _on_plain(
+        self, service: str, data: bytes, address: tuple[str, int]
+    ) -> None:
+        action = self.core.on_plain(
+            service, data, address, now_ms=clock.now_ms()
+        )
+        if action is not None:
+            self.peer.send(action.data, action.address)
+
     def stop(self) -> None:
         """Stops by plan: forwards until callers have gone elsewhere."""
         self.announce_state(membership.LEAVING)
@@ -85,6 +111,10 @@
         """Sets the data centres that operators have taken out."""
         self.core.set_withdrawn(data_centres)
 
+    def _beat(self) -> None:
+        super()._beat()
+        self._update_plain_ports()
+
     def dump(self) -> dict[str, Any]:
         """Returns the state of the process, without secrets."""
         return super().dump() | {
@@ -109,6 +139,9 @@
     ) -> None:
         """Handles a verified datagram other than a heartbeat."""
         del sender
+        if kind == messages.Kind.PLAIN_REPLY:
+            self.plain_ports.reply(wire.decode_body(kind, body))
+            return
         if kind != messages.Kind.RELAY:
             self._count_drop("unexpected_kind")
             return
--- /dev/null
+++ b/sapphirelift/callers/plain_ports.py
@@ -0,0 +1,74 @@
+"""Datagram ports of services whose callers carry no token."""
+
+import functools
+from collections.abc import Callable
+
+import eliot
+
+from sapphirelift import messages
+from sapphirelift.core import replica
+from sapphirelift.peers import endpoint
+
+SERVICES = "records/service/"
+HAND_ON = "hand_on"
+
+Handler = Callable[[str, bytes, tuple[str, int]], None]
+
+
+def wanted_ports(held: replica.Replica) -> dict[str, int]:
+    """Returns the datagram ports of services with routing ``hand_on``."""
+    ports = {}
+    for item in held.items(SERVICES):
+        value = item.value or {}
+        port = value.get("datagram_port")
+        if value.get("routing") == HAND_ON and isinstance(port, int):
+            ports[item.key.removeprefix(SERVICES)] = port
+    return ports
+
+
+class PlainPorts:
+    """Opens and closes the datagram ports as records come into force."""
+
+    def __init__(self, ip: str, handler: Handler) -> None:
+        self._ip = ip
+        self._handler = handler
+        self._open: dict[str, endpoint.Endpoint] = {}
+        self._failed: dict[str, int] = {}
+
+    def update(self, wanted: dict[str, int]) -> None:
+        """Opens the ports that are missing and closes those left over."""
+        for service, opened in list(self._open.items()):
+            if wanted.get(service) != opened.address.port:
+                opened.stop()
+                del self._open[service]
+                eliot.log_message("datagram_port_closed", service=service)
+        for service, port in wanted.items():
+            if service not in self._open:
+                self._try_open(service, port)
+
+    def _try_open(self, service: str, port: int) -> None:
+        try:
+            opened = endpoint.Endpoint(
+                messages.Address(self._ip, port),
+                functools.partial(self._handler, service),
+            )
+        except (OSError, OverflowError) as error:
+            if self._failed.get(service) != port:
+                self._failed[service] = port
+                eliot.log_message(
+                    "datagram_port_not_opened",
+                    service=service,
+                    port=port,
+                    reason=str(error),
+                )
+            return
+        self._failed.pop(service, None)
+        self._open[service] = opened
+        opened.start()
+        eliot.log_message("datagram_port_opened", service=service, port=port)
+
+    def reply(self, reply: messages.PlainReply) -> None:
+        """Sends an answer to a caller from the port of its service."""
+        opened = self._open.get(reply.service)
+        if opened is not None:
+            opened.send(reply.payload, reply.caller)
--- a/sapphirelift/core/agent.py
+++ b/sapphirelift/core/agent.py
@@ -12,6 +12,7 @@
 from sapphirelift import wire
 from sapphirelift.core import actions
 from sapphirelift.core import flows
+from sapphirelift.core import hand_on
 from sapphirelift.core import keys
 from sapphirelift.core import limits as limits_module
 from sapphirelift.core import membership
@@ -21,6 +22,9 @@
 from sapphirelift.core import token
 
 _Kind = messages.Kind
+PLAIN_KINDS = frozenset(
+    (_Kind.PLAIN, _Kind.PLAIN_ASK, _Kind.PLAIN_OWNED, _Kind.PLAIN_RETURN)
+)
 
 
 class AgentIdentity(NamedTuple):
@@ -71,7 +75,12 @@
     out: bool
 
 
-Event = PeerDatagram | RunFinished | Tick | Drain | Withdraw
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """The agent ends; plain flows that are left go to others."""
+
+
+Event = PeerDatagram | RunFinished | Tick | Drain | Withdraw | Release
 
 
 class AgentCore:
@@ -102,6 +111,13 @@
             out=self._out,
             counters=self.counters,
         )
+        self.hand_on = hand_on.HandOn(
+            address=identity.address,
+            service=identity.service,
+            out=self._out,
+            admission=self.requests.admission,
+            counters=self.counters,
+        )
         self._next_serial = 1
         self._service_id = keys.service_id(identity.service)
         self._sweep_ms = 0
@@ -113,7 +129,9 @@
                 case PeerDatagram():
                     self._on_peer_datagram(event, now_ms)
                 case RunFinished(run_id, outcome, shed, failed):
-                    self.requests.on_run_finished(
+                    # Runs of plain datagrams have negative numbers.
+                    owner = self.requests if run_id > 0 else self.hand_on
+                    owner.on_run_finished(
                         run_id,
                         outcome,
                         shed=shed,
@@ -126,9 +144,12 @@
                     self._on_drain(now_ms)
                 case Withdraw(out=out):
                     self._on_withdraw(out)
+                case Release():
+                    self.hand_on.release()
         except errors.DatagramError as error:
             self.counters[f"dropped_{error.reason}"] += 1
         self.requests.start_runs(now_ms)
+        self.hand_on.start_runs(now_ms)
         return self._out.take()
 
     # Datagrams.
@@ -142,6 +163,8 @@
                 )
             case _Kind.OPEN_FORWARD:
                 self._on_open(wire.decode_body(event.kind, event.body), now_ms)
+            case kind if kind in PLAIN_KINDS:
+                self.hand_on.handle(kind, event.body, event.sender, now_ms)
             case _:
                 raise errors.DatagramError("unexpected_kind")
 
@@ -290,6 +313,7 @@
 
     def _on_tick(self, now_ms: int) -> None:
         self.requests.send_responses(now_ms)
+        self.hand_on.tick(now_ms)
         if now_ms >= self._sweep_ms:
             self._sweep_ms = now_ms + 250
             self._sweep(now_ms)
@@ -320,6 +344,7 @@
         if self.state != membership.UP:
             return
         self.state = self.requests.state = membership.DRAINING
+        self.hand_on.state = membership.DRAINING
         self._out.add(actions.LogState("agent_draining", {}))
         for flow in self.flows.values():
             self.requests.refuse_unstarted(flow, now_ms)
@@ -329,6 +354,7 @@
         if out == self.withdrawn:
             return
         self.withdrawn = out
+        self.hand_on.withdraw(out)
         self._out.add(actions.LogState("data_centre_withdrawn", {"out": out}))
         if not out:
             return
--- a/sapphirelift/core/balancer.py
+++ b/sapphirelift/core/balancer.py
@@ -1,13 +1,13 @@
 """Decisions of a balancer. It keeps no state per flow."""
 
 import collections
-from typing import NamedTuple
 
 from sapphirelift import errors
 from sapphirelift import messages
 from sapphirelift import wire
 from sapphirelift.core import actions
 from sapphirelift.core import freshness
+from sapphirelift.core import generations
 from sapphirelift.core import keys
 from sapphirelift.core import membership
 from sapphirelift.core import routing
@@ -17,14 +17,6 @@
 CANDIDATES = 3
 
 
-class _Candidate(NamedTuple):
-    """An agent as a target of rendezvous hashing."""
-
-    name: str
-    weight: float
-    address: messages.Address
-
-
 class BalancerCore:
     """Routing of caller datagrams to agents and back."""
 
@@ -39,16 +31,20 @@
         self.members = members
         self.ring = ring
         self.freshness = freshness.Freshness()
+        self.plain = generations.PlainRouter(
+            address=address, members=members, ring=ring, targets=self._targets
+        )
         self.withdrawn: set[str] = set()
         self.withdrawn_ids: set[int] = set()
-        self._targets_by_service: dict[str, list[_Candidate]] = {}
+        self._targets_by_service: dict[str, list[generations.Candidate]] = {}
         self._targets_version = -1
         self.counters: collections.Counter[str] = collections.Counter()
 
     def set_withdrawn(self, data_centres: set[str]) -> None:
         """Sets the data centres that operators have taken out."""
         self.withdrawn = data_centres
-        self._targets_version = -1
+        self.plain.withdrawn = data_centres
+        self.members.version += 1
         self.withdrawn_ids = {keys.data_centre_id(n) for n in data_centres}
 
     def on_caller_datagram(
@@ -130,7 +126,7 @@
         carried = ("forwarded", "opens_forwarded", "relayed")
         return sum(self.counters[name] for name in carried)
 
-    def _targets(self, service: str) -> list[_Candidate]:
+    def _targets(self, service: str) -> list[generations.Candidate]:
         """Returns the eligible agents of a service.
 
         The lists are kept until the members change: a scan of 7,840 members
@@ -143,11 +139,33 @@
                     self._targets_by_service.setdefault(
                         member.service, []
                     ).append(
-                        _Candidate(member.name, member.weight, member.address)
+                        generations.Candidate(
+                            member.name, member.weight, member.address
+                        )
                     )
             self._targets_version = self.members.version
         return self._targets_by_service.get(service, [])
 
+    def on_plain(
+        self,
+        service: str,
+        payload: bytes,
+        caller: tuple[str, int],
+        *,
+        now_ms: int,
+    ) -> actions.SendPeer | None:
+        """Routes one datagram that came in on a service's own port."""
+        self.freshness.observe(now_ms)
+        try:
+            if not self.freshness.is_fresh(now_ms):
+                raise errors.DatagramError("stale_records")
+            action = self.plain.route(service, payload, caller, now_ms)
+        except errors.DatagramError as error:
+            self.counters[f"dropped_{error.reason}"] += 1
+            return None
+        self.counters["forwarded"] += 1
+        return action
+
     def on_relay(self, body: bytes) -> actions.SendCaller | None:
         """Passes an agent's datagram on to its caller."""
         try:
--- /dev/null
+++ b/sapphirelift/core/generations.py
@@ -0,0 +1,181 @@
+"""Routing of plain datagrams at a balancer, over changes of the members."""
+
+import hashlib
+import socket
+import struct
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from sapphirelift import errors
+from sapphirelift import messages
+from sapphirelift import wire
+from sapphirelift.core import actions
+from sapphirelift.core import hand_on
+from sapphirelift.core import keys
+from sapphirelift.core import membership
+from sapphirelift.core import routing
+
+CANDIDATES = 3
+# A flow that sends nothing during more changes than this may change owner.
+KEPT_GENERATIONS = 8
+MAX_PREVIOUS = 4
+# Routes by caller until the next change; saves the hashing per datagram.
+MAX_CACHED_ROUTES = 8192
+
+
+class Candidate(NamedTuple):
+    """An agent as a target of rendezvous hashing."""
+
+    name: str
+    weight: float
+    address: messages.Address
+
+
+class _Route(NamedTuple):
+    flow_key: bytes
+    first: messages.Address
+    others: list[messages.Address]
+    previous: list[messages.Address]
+
+
+class _Generation(NamedTuple):
+    """Former candidates of a service, and when they were replaced."""
+
+    targets: tuple[Candidate, ...]
+    replaced_ms: int
+
+
+def flow_key(service: str, caller: tuple[str, int]) -> bytes:
+    """Returns the key of the flow between a caller and a service.
+
+    >>> len(flow_key("catalogue", ("127.0.0.1", 9)))
+    16
+    """
+    data = struct.pack("!4sH", socket.inet_aton(caller[0]), caller[1])
+    return hashlib.blake2b(data + service.encode(), digest_size=16).digest()
+
+
+class PlainRouter:
+    """Sends each plain datagram to the current first candidate.
+
+    Attributes:
+        withdrawn: Data centres that are out.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: messages.Address,
+        members: membership.Membership,
+        ring: keys.KeyRing,
+        targets: Callable[[str], Sequence[Candidate]],
+    ) -> None:
+        self._address = address
+        self._members = members
+        self._ring = ring
+        self._targets = targets
+        self._current: dict[str, tuple[Candidate, ...]] = {}
+        self._former: dict[str, list[_Generation]] = {}
+        self._routes: dict[tuple[str, tuple[str, int]], _Route] = {}
+        self._version = -1
+        self._updated: dict[str, int] = {}
+        self.withdrawn: set[str] = set()
+
+    def tick(self, services: set[str], now_ms: int) -> None:
+        """Takes over changes of the members and forgets old generations."""
+        for service in self._current.keys() - services:
+            del self._current[service]
+            del self._updated[service]
+            self._former.pop(service, None)
+        for service in services:
+            self._update(service, now_ms)
+            self._former[service] = [
+                g
+                for g in self._former.get(service, [])
+                if now_ms - g.replaced_ms <= hand_on.FLOW_IDLE_MS
+            ]
+        self._routes.clear()
+
+    def _update(self, service: str, now_ms: int) -> None:
+        if self._updated.get(service) == self._members.version:
+            return
+        self._updated[service] = self._members.version
+        targets = tuple(sorted(self._targets(service)))
+        held = self._current.get(service)
+        if targets == held:
+            return
+        self._current[service] = targets
+        if held:
+            former = self._former.setdefault(service, [])
+            former.insert(0, _Generation(held, now_ms))
+            del former[KEPT_GENERATIONS:]
+
+    def route(
+        self, service: str, payload: bytes, caller: tuple[str, int], now_ms: int
+    ) -> actions.SendPeer:
+        """Wraps a datagram for the first candidate of its flow.
+
+        Raises:
+            DatagramError: The datagram is too large, or no agent is up.
+        """
+        if len(payload) > hand_on.MAX_PAYLOAD_BYTES:
+            raise errors.DatagramError("oversized")
+        if self._version != self._members.version:
+            self._version = self._members.version
+            self._routes.clear()
+        route = self._routes.get((service, caller))
+        if route is None:
+            self._update(service, now_ms)
+            route = self._find(service, caller)
+            if len(self._routes) >= MAX_CACHED_ROUTES:
+                self._routes.clear()
+            self._routes[(service, caller)] = route
+        plain = messages.Plain(
+            service=service,
+            caller=messages.Address(*caller),
+            balancer=self._address,
+            flow_key=route.flow_key,
+            hops=0,
+            ask_id=0,
+            candidates=route.others,
+            previous=route.previous,
+            payload=payload,
+        )
+        body = wire.encode_body(plain)
+        data = wire.encode_peer(messages.Kind.PLAIN, body, self._ring)
+        return actions.SendPeer(route.first, data)
+
+    def _find(self, service: str, caller: tuple[str, int]) -> _Route:
+        key = flow_key(service, caller)
+        chosen = routing.candidates(
+            key, self._current.get(service, ()), count=CANDIDATES
+        )
+        if not chosen:
+            raise errors.DatagramError("no_backend_server")
+        previous: list[messages.Address] = []
+        for generation in self._former.get(service, []):
+            for former in routing.candidates(key, generation.targets, count=1):
+                if (
+                    former.address not in previous
+                    and former.address != chosen[0].address
+                    and self._is_alive(former, service)
+                ):
+                    previous.append(former.address)
+        return _Route(
+            key,
+            chosen[0].address,
+            [c.address for c in chosen[1:]],
+            previous[:MAX_PREVIOUS],
+        )
+
+    def _is_alive(self, candidate: Candidate, service: str) -> bool:
+        """Tells whether a former candidate may still own flows."""
+        member = self._members.members.get(candidate.name)
+        return (
+            member is not None
+            and member.is_alive
+            and member.data_centre not in self.withdrawn
+            and member.service == service
+            and member.address == candidate.address
+        )
--- /dev/null
+++ b/sapphirelift/core/hand_on.py
@@ -0,0 +1,489 @@
+"""Plain datagrams at an agent: who owns a flow without a token.
+
+The agent that a balancer takes for the first candidate asks the first
+candidates of earlier generations before it takes a flow over. Asking
+carries no payload, so that a datagram is run at most once.
+"""
+
+import collections
+import dataclasses
+
+from sapphirelift import errors
+from sapphirelift import messages
+from sapphirelift import wire
+from sapphirelift.core import actions
+from sapphirelift.core import admission as admission_module
+from sapphirelift.core import membership
+from sapphirelift.core import outbox
+from sapphirelift.core import outcomes
+
+_Kind = messages.Kind
+
+FLOW_IDLE_MS = 60_000
+MAX_OWNED = 20_000
+MAX_REDIRECTS = 20_000
+MAX_PENDING = 4096
+MAX_PENDING_DATAGRAMS = 8
+MAX_QUEUED_RUNS = 256
+MAX_HOPS = 2
+ASK_REPEAT_MS = 100
+# A former first candidate that has not answered by then is taken for dead.
+# An owner that is alive but slower than this loses the flow.
+ASK_TIMEOUT_MS = 1000
+CONFIRM_INTERVAL_MS = 500
+# The owner confirms every half second; silence means that it has ended.
+CONFIRM_TIMEOUT_MS = membership.SUSPECT_AFTER_MS
+SWEEP_MS = 1000
+RUN_DEADLINE_MS = 5000
+# The envelope adds the service name and up to seven addresses.
+MAX_PAYLOAD_BYTES = 3500
+PATH = "/datagram"
+
+
+@dataclasses.dataclass(slots=True)
+class _Owned:
+    caller: messages.Address
+    balancer: messages.Address
+    heard_ms: int
+    forwarder: messages.Address | None = None
+    confirmed_ms: int | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Redirect:
+    """Where datagrams of a flow go that another agent owns.
+
+    Attributes:
+        unconfirmed_ms: Time of the first datagram sent on since the owner
+            last confirmed that it owns the flow, None if there is none.
+    """
+
+    owner: messages.Address
+    used_ms: int
+    unconfirmed_ms: int | None = None
+    confirmed_id: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """A flow whose owner is being looked for."""
+
+    ask_id: int
+    started_ms: int
+    asked_ms: int
+    waiting: set[messages.Address]
+    datagrams: list[messages.Plain]
+
+
+class HandOn:
+    """Ownership, redirects and runs of plain datagrams at one agent.
+
+    Attributes:
+        state: State of the agent; only one that is up takes new flows.
+        withdrawn: Whether the agent's data centre is out.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: messages.Address,
+        service: str,
+        out: outbox.Outbox,
+        admission: admission_module.Admission,
+        counters: collections.Counter[str],
+    ) -> None:
+        self.state = membership.UP
+        self.withdrawn = False
+        self._address = address
+        self._service = service
+        self._out = out
+        self._admission = admission
+        self._counters = counters
+        self._owned: dict[bytes, _Owned] = {}
+        self._redirects: dict[bytes, _Redirect] = {}
+        self._pending: dict[bytes, _Pending] = {}
+        self._queue: collections.deque[tuple[bytes, bytes]] = (
+            collections.deque()
+        )
+        self._runs: dict[int, tuple[bytes, int]] = {}
+        self._last_run_id = 0
+        self._last_ask_id = 0
+        self._sweep_ms = 0
+
+    @property
+    def flows(self) -> int:
+        """Number of flows owned."""
+        return len(self._owned)
+
+    @property
+    def running(self) -> int:
+        """Number of datagrams that run on the backend server."""
+        return len(self._runs)
+
+    def owns(self, flow_key: bytes) -> bool:
+        """Tells whether this agent owns a flow."""
+        return flow_key in self._owned
+
+    # Datagrams.
+
+    def handle(
+        self, kind: int, body: bytes, sender: messages.Address, now_ms: int
+    ) -> None:
+        """Takes a datagram of one of the plain kinds.
+
+        Raises:
+            DatagramError: The datagram is malformed or not for this agent.
+        """
+        message = wire.decode_body(kind, body)
+        match message:
+            case messages.Plain():
+                self._on_plain(message, sender, now_ms)
+            case messages.PlainAsk():
+                self._on_ask(message, sender, now_ms)
+            case messages.PlainOwned():
+                self._on_owned(message, now_ms)
+            case messages.PlainReturn():
+                self._on_return(message, sender, now_ms)
+            case _:
+                raise errors.DatagramError("unexpected_kind")
+
+    def _on_plain(
+        self, plain: messages.Plain, sender: messages.Address, now_ms: int
+    ) -> None:
+        if plain.service != self._service:
+            raise errors.DatagramError("wrong_service")
+        if self.withdrawn:
+            raise errors.DatagramError("data_centre_withdrawn")
+        if not 0 <= plain.hops <= MAX_HOPS:
+            raise errors.DatagramError("hops")
+        key = plain.flow_key
+        if key in self._owned:
+            self._deliver(plain, sender, now_ms)
+            return
+        if plain.hops == MAX_HOPS:
+            # Sent back by the agent it was sent on to, or at its last hop.
+            self._redirects.pop(key, None)
+            self._take(plain, sender, now_ms)
+        elif key in self._pending:
+            self._hold(plain)
+        elif self._is_passed_on_by_owner(plain, sender):
+            del self._redirects[key]
+            self._take(plain, sender, now_ms)
+        elif (redirect := self._live_redirect(key, now_ms)) is not None:
+            self._send_on(redirect, plain, now_ms)
+        elif plain.hops == 0:
+            self._find_owner(plain, now_ms)
+        else:
+            self._take(plain, sender, now_ms)
+
+    def _is_passed_on_by_owner(
+        self, plain: messages.Plain, sender: messages.Address
+    ) -> bool:
+        """Tells whether the agent that was to own the flow is at its limit."""
+        redirect = self._redirects.get(plain.flow_key)
+        return (
+            plain.hops > 0
+            and redirect is not None
+            and (redirect.owner == sender)
+        )
+
+    def _may_take(self) -> bool:
+        return (
+            self.state == membership.UP
+            and len(self._owned) < MAX_OWNED
+            and len(self._queue) < MAX_QUEUED_RUNS
+        )
+
+    def _take(
+        self, plain: messages.Plain, sender: messages.Address, now_ms: int
+    ) -> None:
+        """Takes a flow over, or passes it to where it may go next."""
+        if self._may_take():
+            self._redirects.pop(plain.flow_key, None)
+            self._owned[plain.flow_key] = _Owned(
+                plain.caller, plain.balancer, now_ms
+            )
+            self._counters["plain_flows_taken"] += 1
+            self._deliver(plain, sender, now_ms)
+        elif plain.hops == 1:
+            self._send_plain(sender, plain)
+        elif plain.hops == 0 and plain.candidates:
+            redirect = _Redirect(plain.candidates[0], now_ms)
+            self._add_redirect(plain.flow_key, redirect)
+            self._send_on(redirect, plain, now_ms)
+        else:
+            raise errors.DatagramError("overloaded")
+
+    def _deliver(
+        self, plain: messages.Plain, sender: messages.Address, now_ms: int
+    ) -> None:
+        owned = self._owned[plain.flow_key]
+        owned.caller, owned.balancer = plain.caller, plain.balancer
+        owned.heard_ms = now_ms
+        if plain.hops > 0:
+            self._confirm(owned, plain, sender, now_ms)
+        if len(self._queue) >= MAX_QUEUED_RUNS:
+            raise errors.DatagramError("overloaded")
+        self._queue.append((plain.flow_key, plain.payload))
+
+    def _confirm(
+        self,
+        owned: _Owned,
+        plain: messages.Plain,
+        sender: messages.Address,
+        now_ms: int,
+    ) -> None:
+        """Tells the agent that sent the datagram on who owns the flow."""
+        if (
+            owned.forwarder == sender
+            and owned.confirmed_ms is not None
+            and now_ms - owned.confirmed_ms < CONFIRM_INTERVAL_MS
+        ):
+            return
+        owned.forwarder, owned.confirmed_ms = sender, now_ms
+        reply = messages.PlainOwned(plain.flow_key, plain.ask_id, self._address)
+        self._send(sender, _Kind.PLAIN_OWNED, reply)
+
+    # Redirects.
+
+    def _live_redirect(self, key: bytes, now_ms: int) -> _Redirect | None:
+        redirect = self._redirects.get(key)
+        if redirect is None:
+            return None
+        since_ms = redirect.unconfirmed_ms
+        if now_ms - redirect.used_ms > FLOW_IDLE_MS or (
+            since_ms is not None and now_ms - since_ms > CONFIRM_TIMEOUT_MS
+        ):
+            del self._redirects[key]
+            return None
+        return redirect
+
+    def _add_redirect(self, key: bytes, redirect: _Redirect) -> None:
+        self._redirects.pop(key, None)
+        if len(self._redirects) >= MAX_REDIRECTS:
+            del self._redirects[next(iter(self._redirects))]
+            self._counters["plain_redirects_evicted"] += 1
+        self._redirects[key] = redirect
+
+    def _send_on(
+        self, redirect: _Redirect, plain: messages.Plain, now_ms: int
+    ) -> None:
+        redirect.used_ms = now_ms
+        if redirect.unconfirmed_ms is None:
+            redirect.unconfirmed_ms = now_ms
+        self._last_ask_id += 1
+        onward = plain._replace(ask_id=self._last_ask_id)
+        self._send_plain(redirect.owner, onward)
+
+    def _send_plain(
+        self, address: messages.Address, plain: messages.Plain
+    ) -> None:
+        if plain.hops >= MAX_HOPS:
+            raise errors.DatagramError("hops")
+        self._counters["plain_sent_on"] += 1
+        onward = plain._replace(hops=plain.hops + 1, candidates=[], previous=[])
+        self._send(address, _Kind.PLAIN, onward)
+
+    # Looking for the owner.
+
+    def _find_owner(self, plain: messages.Plain, now_ms: int) -> None:
+        asked = {a for a in plain.previous if a != self._address}
+        if not asked:
+            self._take(plain, self._address, now_ms)
+            return
+        if len(self._pending) >= MAX_PENDING:
+            raise errors.DatagramError("pending_full")
+        self._last_ask_id += 1
+        pending = _Pending(self._last_ask_id, now_ms, now_ms, asked, [plain])
+        self._pending[plain.flow_key] = pending
+        self._ask(plain.flow_key, pending)
+
+    def _hold(self, plain: messages.Plain) -> None:
+        datagrams = self._pending[plain.flow_key].datagrams
+        if len(datagrams) >= MAX_PENDING_DATAGRAMS:
+            raise errors.DatagramError("pending_full")
+        datagrams.append(plain)
+
+    def _ask(self, key: bytes, pending: _Pending) -> None:
+        ask = messages.PlainAsk(self._service, key, pending.ask_id)
+        for address in sorted(pending.waiting):
+            self._send(address, _Kind.PLAIN_ASK, ask)
+
+    def _on_ask(
+        self, ask: messages.PlainAsk, sender: messages.Address, now_ms: int
+    ) -> None:
+        if ask.service != self._service:
+            raise errors.DatagramError("wrong_service")
+        key = ask.flow_key
+        owner = self._known_owner(key, sender, now_ms)
+        if owner is not None:
+            reply = messages.PlainOwned(key, ask.ask_id, owner)
+            self._send(sender, _Kind.PLAIN_OWNED, reply)
+            return
+        if key not in self._pending:
+            # The asker is about to own the flow. A balancer with an older
+            # table may still send its datagrams here.
+            self._add_redirect(key, _Redirect(sender, now_ms))
+        returned = messages.PlainReturn(key, ask.ask_id)
+        self._send(sender, _Kind.PLAIN_RETURN, returned)
+
+    def _known_owner(
+        self, key: bytes, asker: messages.Address, now_ms: int
+    ) -> messages.Address | None:
+        if key in self._owned:
+            return self._address
+        if key in self._pending:
+            # Both look for an owner; the lower address takes the flow.
+            return self._address if self._address < asker else None
+        redirect = self._live_redirect(key, now_ms)
+        if redirect is None or redirect.owner == asker:
+            return None
+        return redirect.owner
+
+    def _on_owned(self, owned: messages.PlainOwned, now_ms: int) -> None:
+        pending = self._pending.get(owned.flow_key)
+        if pending is not None and pending.ask_id == owned.ask_id:
+            del self._pending[owned.flow_key]
+            if owned.owner == self._address:
+                self._settle(pending, now_ms)
+                return
+            redirect = _Redirect(owned.owner, now_ms)
+            self._add_redirect(owned.flow_key, redirect)
+            for plain in pending.datagrams:
+                self._send_on(redirect, plain, now_ms)
+            return
+        known = self._redirects.get(owned.flow_key)
+        if known is None or not (
+            known.confirmed_id < owned.ask_id <= self._last_ask_id
+        ):
+            raise errors.DatagramError("replayed")
+        known.owner = owned.owner
+        known.confirmed_id = owned.ask_id
+        known.unconfirmed_ms = None
+
+    def _on_return(
+        self,
+        returned: messages.PlainReturn,
+        sender: messages.Address,
+        now_ms: int,
+    ) -> None:
+        key = returned.flow_key
+        pending = self._pending.get(key)
+        if pending is not None and pending.ask_id == returned.ask_id:
+            pending.waiting.discard(sender)
+            if not pending.waiting:
+                del self._pending[key]
+                self._settle(pending, now_ms)
+            return
+        redirect = self._redirects.get(key)
+        if returned.ask_id != 0 or redirect is None or redirect.owner != sender:
+            raise errors.DatagramError("replayed")
+        del self._redirects[key]
+
+    def _settle(self, pending: _Pending, now_ms: int) -> None:
+        """Takes over a flow that nobody owns."""
+        for plain in pending.datagrams:
+            try:
+                self._on_plain(
+                    plain._replace(previous=[]), self._address, now_ms
+                )
+            except errors.DatagramError as error:
+                self._counters[f"dropped_{error.reason}"] += 1
+
+    # Running.
+
+    def start_runs(self, now_ms: int) -> None:
+        """Starts waiting datagrams while admission allows it."""
+        while self._queue and self._admission.may_start(now_ms):
+            key, payload = self._queue.popleft()
+            owned = self._owned.get(key)
+            if owned is None:
+                continue
+            self._last_run_id -= 1
+            self._runs[self._last_run_id] = (key, now_ms)
+            self._admission.started(now_ms)
+            caller = f"{owned.caller.ip}:{owned.caller.port}"
+            self._out.add(
+                actions.StartRun(
+                    run_id=self._last_run_id,
+                    request_id=-self._last_run_id,
+                    caller=caller,
+                    method="POST",
+                    path=PATH,
+                    body=payload,
+                    deadline_ms=RUN_DEADLINE_MS,
+                )
+            )
+
+    def on_run_finished(
+        self,
+        run_id: int,
+        outcome: outcomes.Outcome,
+        *,
+        shed: bool,
+        failed: bool,
+        now_ms: int,
+    ) -> None:
+        """Sends the answer of a run to the caller. No run is repeated."""
+        run = self._runs.pop(run_id, None)
+        if run is None:
+            return
+        key, started_ms = run
+        self._admission.finished(
+            now_ms, duration_ms=now_ms - started_ms, shed=shed, failed=failed
+        )
+        self._counters[f"plain_runs_{type(outcome).__name__.lower()}"] += 1
+        owned = self._owned.get(key)
+        if owned is None or not isinstance(outcome, outcomes.Answered):
+            return
+        if not 200 <= outcome.status < 300 or outcome.status == 204:
+            return
+        if len(outcome.body) > MAX_PAYLOAD_BYTES:
+            self._counters["dropped_answer_too_large"] += 1
+            return
+        reply = messages.PlainReply(self._service, owned.caller, outcome.body)
+        balancer = self._out.return_path(owned.balancer, key)
+        self._send(balancer, _Kind.PLAIN_REPLY, reply)
+
+    # Time and changes of state.
+
+    def tick(self, now_ms: int) -> None:
+        """Repeats questions and lets idle flows expire."""
+        for key, pending in list(self._pending.items()):
+            if now_ms - pending.started_ms > ASK_TIMEOUT_MS:
+                del self._pending[key]
+                self._counters["plain_asks_timed_out"] += 1
+                self._settle(pending, now_ms)
+            elif now_ms - pending.asked_ms >= ASK_REPEAT_MS:
+                pending.asked_ms = now_ms
+                self._ask(key, pending)
+        if now_ms < self._sweep_ms:
+            return
+        self._sweep_ms = now_ms + SWEEP_MS
+        for key, owned in list(self._owned.items()):
+            if now_ms - owned.heard_ms > FLOW_IDLE_MS:
+                del self._owned[key]
+        for key in list(self._redirects):
+            self._live_redirect(key, now_ms)
+
+    def withdraw(self, out: bool) -> None:
+        """Gives up all flows when the data centre is taken out."""
+        self.withdrawn = out
+        if out:
+            self.release()
+            self._redirects.clear()
+            self._pending.clear()
+            self._queue.clear()
+
+    def release(self) -> None:
+        """Tells the agents that send datagrams here that the owner ends."""
+        for key, owned in self._owned.items():
+            if owned.forwarder is not None:
+                released = messages.PlainReturn(key, 0)
+                self._send(owned.forwarder, _Kind.PLAIN_RETURN, released)
+        self._owned.clear()
+
+    def _send(
+        self, address: messages.Address, kind: int, body: tuple[object, ...]
+    ) -> None:
+        self._out.send_peer(address, kind, wire.encode_body(body))
--- a/sapphirelift/core/outbox.py
+++ b/sapphirelift/core/outbox.py
@@ -29,7 +29,7 @@
         return_path: ReturnPath = _last_balancer,
     ) -> None:
         self.ring = ring
-        self._return_path = return_path
+        self.return_path = return_path
         self._actions: list[actions.Action] = []
 
     def take(self) -> list[actions.Action]:
@@ -48,7 +48,7 @@
         data = wire.encode_caller(
             kind, flow.flow_key, body, flow_token=flow.token
         )
-        balancer = self._return_path(flow.balancer, flow.flow_key)
+        balancer = self.return_path(flow.balancer, flow.flow_key)
         self.relay(balancer, flow.caller, data)
 
     def relay(
--- a/sapphirelift/messages.py
+++ b/sapphirelift/messages.py
@@ -37,6 +37,8 @@
     PLAIN = 42
     PLAIN_RETURN = 43
     PLAIN_OWNED = 44
+    PLAIN_ASK = 45
+    PLAIN_REPLY = 46
 
 
 class Address(NamedTuple):
@@ -213,3 +215,52 @@
     queued: int
     utilisation: float
     flows: int
+
+
+class Plain(NamedTuple):
+    """A datagram of a caller without a token, on its way to the owner.
+
+    ``previous`` lists the first candidates of earlier generations that are
+    alive. ``ask_id`` is set by an agent that sends the datagram on.
+    """
+
+    service: str
+    caller: Address
+    balancer: Address
+    flow_key: bytes
+    hops: int
+    ask_id: int
+    candidates: list[Address]
+    previous: list[Address]
+    payload: bytes
+
+
+class PlainAsk(NamedTuple):
+    """Asks whether the receiver owns a flow or knows its owner."""
+
+    service: str
+    flow_key: bytes
+    ask_id: int
+
+
+class PlainOwned(NamedTuple):
+    """Names the owner of a flow, as answer to PLAIN_ASK or PLAIN."""
+
+    flow_key: bytes
+    ask_id: int
+    owner: Address
+
+
+class PlainReturn(NamedTuple):
+    """The sender does not own the flow; ``ask_id`` 0 tells that it ends."""
+
+    flow_key: bytes
+    ask_id: int
+
+
+class PlainReply(NamedTuple):
+    """Answer datagram for a caller without a token."""
+
+    service: str
+    caller: Address
+    payload: bytes
--- a/sapphirelift/wire.py
+++ b/sapphirelift/wire.py
@@ -41,6 +41,11 @@
     _Kind.HEARTBEAT: messages.Heartbeat,
     _Kind.HEARTBEAT_ACK: messages.HeartbeatAck,
     _Kind.LOAD: messages.Load,
+    _Kind.PLAIN: messages.Plain,
+    _Kind.PLAIN_ASK: messages.PlainAsk,
+    _Kind.PLAIN_OWNED: messages.PlainOwned,
+    _Kind.PLAIN_RETURN: messages.PlainReturn,
+    _Kind.PLAIN_REPLY: messages.PlainReply,
 }
 _DECODERS: dict[int, msgspec.msgpack.Decoder[Any]] = {
     int(kind): msgspec.msgpack.Decoder(body) for kind, body in _BODIES.items()
