--- a/sapphirelift/core/hand_on.py
+++ b/sapphirelift/core/hand_on.py
@@ -66,13 +66,20 @@
 
 @dataclasses.dataclass(slots=True)
 class _Pending:
-    """A flow whose owner is being looked for."""
+    """A flow whose owner is being looked for.
+
+    Attributes:
+        waiting: Agents that have not answered yet.
+        promised: Agents that were told that this one takes the flow. Another
+            agent that names one of them as the owner is out of date.
+    """
 
     ask_id: int
     started_ms: int
     asked_ms: int
     waiting: set[messages.Address]
     datagrams: list[messages.Plain]
+    promised: set[messages.Address] = dataclasses.field(default_factory=set)
 
 
 class HandOn:
@@ -141,7 +148,7 @@
             case messages.PlainAsk():
                 self._on_ask(message, sender, now_ms)
             case messages.PlainOwned():
-                self._on_owned(message, now_ms)
+                self._on_owned(message, sender, now_ms)
             case messages.PlainReturn():
                 self._on_return(message, sender, now_ms)
             case _:
@@ -332,21 +339,28 @@
     ) -> messages.Address | None:
         if key in self._owned:
             return self._address
-        if key in self._pending:
+        pending = self._pending.get(key)
+        if pending is not None:
             # Both look for an owner; the lower address takes the flow.
-            return self._address if self._address < asker else None
+            if asker < self._address:
+                return None
+            pending.promised.add(asker)
+            return self._address
         redirect = self._live_redirect(key, now_ms)
         if redirect is None or redirect.owner == asker:
             return None
         return redirect.owner
 
-    def _on_owned(self, owned: messages.PlainOwned, now_ms: int) -> None:
+    def _on_owned(
+        self, owned: messages.PlainOwned, sender: messages.Address, now_ms: int
+    ) -> None:
         pending = self._pending.get(owned.flow_key)
         if pending is not None and pending.ask_id == owned.ask_id:
-            del self._pending[owned.flow_key]
-            if owned.owner == self._address:
-                self._settle(pending, now_ms)
+            if owned.owner in pending.promised or owned.owner == self._address:
+                returned = messages.PlainReturn(owned.flow_key, owned.ask_id)
+                self._on_return(returned, sender, now_ms)
                 return
+            del self._pending[owned.flow_key]
             redirect = _Redirect(owned.owner, now_ms)
             self._add_redirect(owned.flow_key, redirect)
             for plain in pending.datagrams:
--- a/sapphirelift/peers/endpoint.py
+++ b/sapphirelift/peers/endpoint.py
@@ -50,9 +50,7 @@
     def _receive(self) -> None:
         while True:
             try:
-                data, address = self._socket.recvfrom(
-                    wire.MAX_DATAGRAM_BYTES + 1
-                )
+                data, address = self._socket.recvfrom(wire.MAX_PEER_BYTES + 1)
             except ConnectionError:
                 continue
             self.datagrams_received += 1
--- a/sapphirelift/wire.py
+++ b/sapphirelift/wire.py
@@ -15,6 +15,9 @@
 MAGIC = 0x5A
 VERSION = 1
 MAX_DATAGRAM_BYTES = 4096
+# A peer datagram may wrap a caller datagram of the full size, with a service
+# name and some addresses.
+MAX_PEER_BYTES = MAX_DATAGRAM_BYTES + 512
 FLOW_KEY_BYTES = 16
 
 _CALLER_HEADER = struct.Struct(f"!BBBB{FLOW_KEY_BYTES}s{token.TOKEN_BYTES}s")
@@ -123,9 +126,34 @@
     if decoder is None:
         raise errors.DatagramError("unknown_kind")
     try:
-        return decoder.decode(data)
+        body = decoder.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise errors.DatagramError("malformed") from error
+    match body:
+        case messages.OpenForward(caller, balancer, _, candidates):
+            _check_addresses(caller, balancer, *candidates)
+        case messages.Heartbeat(ip=ip, port=port):
+            _check_addresses(messages.Address(ip, port))
+        case messages.Plain():
+            _check_addresses(
+                body.caller, body.balancer, *body.candidates, *body.previous
+            )
+        case messages.PlainOwned(owner=owner):
+            _check_addresses(owner)
+        case messages.PlainReply(caller=caller):
+            _check_addresses(caller)
+    return body
+
+
+def _check_addresses(*addresses: messages.Address) -> None:
+    """Refuses what a socket would resolve as a name or raise an error for."""
+    for ip, port in addresses:
+        try:
+            socket.inet_pton(socket.AF_INET, ip)
+        except (OSError, ValueError) as error:
+            raise errors.DatagramError("malformed") from error
+        if not 0 < port < 1 << 16:
+            raise errors.DatagramError("malformed")
 
 
 def encode_body(body: tuple[Any, ...]) -> bytes:
@@ -147,6 +175,8 @@
     """
     if len(data) < _PEER_HEADER.size:
         raise errors.DatagramError("truncated")
+    if len(data) > MAX_PEER_BYTES:
+        raise errors.DatagramError("oversized")
     magic, version, kind, key_id, mac = _PEER_HEADER.unpack_from(data)
     if magic != MAGIC or version != VERSION:
         raise errors.DatagramError("foreign")
--- a/tests/test_hand_on.py
+++ b/tests/test_hand_on.py
@@ -104,7 +104,7 @@
         """Sends a datagram of a caller."""
         core = self.balancers[via]
         action = core.on_plain(
-            SERVICE, payload, ("10.1.0.1", caller), now_ms=self.now_ms
+            SERVICE, payload, ("10.1.0.1", 5000 + caller), now_ms=self.now_ms
         )
         if action is not None:
             self.queue.append((core.address, action))
@@ -158,7 +158,9 @@
 
     def owners(self, caller: int) -> list[messages.Address]:
         """Returns the agents that own the flow of a caller."""
-        key = balancer.generations.flow_key(SERVICE, ("10.1.0.1", caller))
+        key = balancer.generations.flow_key(
+            SERVICE, ("10.1.0.1", 5000 + caller)
+        )
         return [a for a, held in self.agents.items() if held.core.owns(key)]
 
 
@@ -216,6 +218,74 @@
         assert len(network.runs) == expected
         assert network.max_hops <= hand_on.MAX_HOPS
 
+    @pytest.mark.parametrize("seed", range(5))
+    @pytest.mark.parametrize("order", ["new_at_one", "opposite"])
+    def test_balancers_with_different_tables(
+        self, seed: int, order: str
+    ) -> None:
+        """Guards against a new flow that two agents take at once."""
+        network = Network(seed=seed)
+        if order == "new_at_one":
+            network.announce(0, "up", at=[0, 1])
+            network.announce(1, "up", at=[0])
+        else:
+            # Each agent is the former first candidate of the other.
+            network.announce(0, "up", at=[0])
+            network.announce(1, "up", at=[1])
+            network.announce(2, "up", at=[0, 1])
+            network.announce(0, "draining", at=[0])
+            network.announce(1, "draining", at=[1])
+            network.announce(0, "up", at=[1])
+            network.announce(1, "up", at=[0])
+        for caller in range(60):
+            for turn in range(4):
+                payload = f"{caller}-{turn}".encode()
+                network.put(caller, payload, via=turn % 2)
+            network.settle()
+            network.pass_time(100)
+            assert len(network.owners(caller)) == 1
+            for turn in range(4, 6):
+                payload = f"{caller}-{turn}".encode()
+                network.send(caller, payload, via=turn % 2)
+            assert len(network.owners(caller)) == 1
+        assert len(network.runs) == 360
+        assert set(network.runs.values()) == {1}
+
+    def test_more_changes_than_generations(self) -> None:
+        """Guards against redirects that are not followed."""
+        network = Network(balancers=1)
+        network.announce(0, "up", at=[0])
+        for number in range(2 * balancer.generations.KEPT_GENERATIONS):
+            network.announce(number, "up", at=[0])
+            for caller in range(20):
+                network.send(caller, b"%d-%d" % (caller, number), via=0)
+            network.pass_time(1000)
+        for caller in range(20):
+            assert network.owners(caller) == [agent_address(0)]
+
+    def test_returned_datagram_is_taken(self) -> None:
+        """Guards against a datagram that two agents send to and fro."""
+        network = Network(balancers=1)
+        network.announce(0, "up", at=[0])
+        agent = network.agents[agent_address(0)]
+        ask = messages.PlainAsk(SERVICE, b"k" * 16, 1)
+        agent.core._on_ask(ask, agent_address(1), 0)
+        plain = messages.Plain(
+            SERVICE,
+            messages.Address("10.1.0.1", 5),
+            messages.Address("10.0.0.1", 1),
+            b"k" * 16,
+            0,
+            0,
+            [],
+            [],
+            b"x",
+        )
+        agent.core._on_plain(plain, plain.balancer, 0)
+        assert not agent.core.owns(b"k" * 16)
+        agent.core._on_plain(plain._replace(hops=2), agent_address(2), 0)
+        assert agent.core.owns(b"k" * 16)
+
     def test_several_changes_without_a_datagram(self) -> None:
         """Guards against a router that knows one former generation only."""
         network = Network(balancers=1)
--- a/tests/test_member_processes.py
+++ b/tests/test_member_processes.py
@@ -1,6 +1,7 @@
 """Membership and routing through real processes."""
 
 import signal
+import socket
 import time
 from collections.abc import Callable
 
@@ -182,3 +183,74 @@
 
         wait_for(announced, timeout_s=7)
         wait_for(lambda: not marked(), timeout_s=3)
+
+
+class TestPlainCallers:
+    """Callers without a token, with plain datagrams."""
+
+    def test_flows_stay_while_agents_come_and_go(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against a flow moved away from its living owner."""
+        start(fleet)
+        port = processes.free_port()
+        objects = platform_client.ObjectClient(fleet.platform_url)
+        key = f"records/service/{SERVICE}"
+        record = {
+            "schema_version": 1,
+            "kind": "service",
+            "name": SERVICE,
+            "routing": "hand_on",
+            "datagram_port": port,
+        }
+        objects.put(key, record)
+        callers = []
+        for _ in range(12):
+            caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            caller.bind(("127.0.0.1", 0))
+            caller.connect(("127.0.0.1", port))
+            caller.settimeout(2)
+            callers.append(caller)
+
+        def answered(caller: socket.socket, payload: bytes) -> bool:
+            caller.send(payload)
+            return caller.recv(100) == payload
+
+        processes.wait_until(
+            lambda: answered(callers[0], b"probe"), timeout_s=7
+        )
+        for turn in range(4):
+            for number, caller in enumerate(callers):
+                assert answered(caller, f"{number}-{turn}".encode())
+            if turn < 2:
+                fleet.start_agent(f"agent-{turn}", service=SERVICE)
+                fleet.wait_ready(agents=3 + turn)
+            elif turn == 2:
+                # Drains until its flows have expired; they stay meanwhile.
+                fleet.terminate("agent-a")
+                time.sleep(1)
+        names = [n for n in fleet.backend_ports if fleet.runs(n)]
+        owners = {
+            run["caller"]: name for name in names for run in fleet.runs(name)
+        }
+        runs = [run["caller"] for name in names for run in fleet.runs(name)]
+        assert len(runs) == 12 * 4 + 1
+        assert set(names) == {"agent-a", "agent-b"}
+        for name in names:
+            for run in fleet.runs(name):
+                assert owners[run["caller"]] == name
+        objects.delete(key)
+        processes.wait_until(lambda: is_refused(callers[1]), timeout_s=7)
+
+
+def is_refused(caller: socket.socket) -> bool:
+    """Tells whether the port that a caller sends to is closed."""
+    try:
+        caller.send(b"late")
+        caller.settimeout(0.2)
+        caller.recv(100)
+    except ConnectionRefusedError:
+        return True
+    except TimeoutError:
+        return False
+    return False
