--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -83,9 +83,13 @@
                 self.core.flows
                 or self.core.requests.running
                 or self.core.balance.pending
+                or self.core.hand_on.flows
+                or self.core.hand_on.running
             ):
                 eventlet.sleep(TICK_S)
             eventlet.sleep(FINAL_RESPONSES_S)
+        self._events.put(agent.Release())
+        eventlet.sleep(TICK_S)
 
     def set_withdrawn(self, data_centres: set[str]) -> None:
         """Sets the data centres that operators have taken out."""
@@ -99,6 +103,7 @@
             "counters": dict(self.core.counters),
             "flows": len(self.core.flows),
             "running": self.core.requests.running,
+            "plain_flows": self.core.hand_on.flows,
             "queued": self.core.requests.queued,
             "utilisation": self.core.balance.utilisation(clock.now_ms()),
             "withdrawn": self.core.withdrawn,
--- a/sapphirelift/_balancer_node.py
+++ b/sapphirelift/_balancer_node.py
@@ -1,9 +1,11 @@
 """The balancer role of the daemon."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import Any
 from typing import NamedTuple
 
+import eliot
 import eventlet
 
 from sapphirelift import _node
@@ -11,15 +13,19 @@
 from sapphirelift import clock
 from sapphirelift import messages
 from sapphirelift import settings as settings_module
+from sapphirelift import wire
+from sapphirelift.callers import plain_ports
 from sapphirelift.core import actions
 from sapphirelift.core import balancer
 from sapphirelift.core import membership
+from sapphirelift.core import replica
 from sapphirelift.core import routing
 from sapphirelift.core import status
 from sapphirelift.peers import endpoint
 from sapphirelift.platform import client
 
 QUIET_S = 1.0
+WATCHDOG_S = 0.25
 
 
 class _Named(NamedTuple):
@@ -38,6 +44,11 @@
         self.core = balancer.BalancerCore(
             address=self.peer.address, members=self.members, ring=self.ring
         )
+        self.plain_ports = plain_ports.PlainPorts(
+            settings.public.ip, self._on_plain
+        )
+        self._epoch = 0
+        self._resumed_sequence = 0
         self.public = endpoint.Endpoint(
             settings.public.address, self._on_caller_datagram
         )
@@ -58,20 +69,77 @@
         super().start()
         self.public.start()
         eventlet.spawn(self.status_writer.run)
+        eventlet.spawn(self._watch_own_clock)
+
+    def _watch_own_clock(self) -> None:
+        """Asks the neighbours for their revision after a freeze."""
+        while True:
+            eventlet.sleep(WATCHDOG_S)
+            self.current_epoch()
+            if not self.core.freshness.is_fresh(clock.now_ms()):
+                self._beat()
+
+    def current_epoch(self) -> int:
+        """Returns a number that changes when the process was frozen."""
+        freshness = self.core.freshness
+        freshness.observe(clock.now_ms())
+        if freshness.gaps != self._epoch:
+            self._epoch = freshness.gaps
+            self._resumed_sequence = self.heartbeats.sequence + 1
+            eliot.log_message("resumed_after_freeze")
+            self._beat()
+        return self._epoch
+
+    def on_records_read(self, epoch: int) -> None:
+        """Called when records asked for in ``epoch`` are in force."""
+        if epoch == self.current_epoch():
+            self.core.freshness.compared()
+
+    def on_revision_confirmed(self, sequence: int) -> None:
+        """Accepts only answers to heartbeats sent after the last freeze.
+
+        Older answers may have waited in the socket's buffer.
+        """
+        self.current_epoch()
+        if sequence >= self._resumed_sequence:
+            self.core.freshness.compared()
+
+    def apply_changes(self, changes: Iterable[replica.StoredObject]) -> None:
+        """Brings changed objects into force."""
+        super().apply_changes(changes)
+        self._update_plain_ports()
+
+    def _update_plain_ports(self) -> None:
+        wanted = plain_ports.wanted_ports(self.replica)
+        self.plain_ports.update(wanted)
+        self.core.plain.tick(set(wanted), clock.now_ms())
+
+    def _on_plain(
+        self, service: str, data: bytes, address: tuple[str, int]
+    ) -> None:
+        action = self.core.on_plain(
+            service, data, address, now_ms=clock.now_ms()
+        )
+        if action is not None:
+            self.peer.send(action.data, action.address)
 
     def stop(self) -> None:
         """Stops by plan: forwards until callers have gone elsewhere."""
         self.announce_state(membership.LEAVING)
         with eventlet.Timeout(self.settings.stop_timeout_ms / 1000, False):
             seen = -1
-            while seen != self.public.datagrams_received:
-                seen = self.public.datagrams_received
+            while seen != self.core.packets:
+                seen = self.core.packets
                 eventlet.sleep(QUIET_S)
 
     def set_withdrawn(self, data_centres: set[str]) -> None:
         """Sets the data centres that operators have taken out."""
         self.core.set_withdrawn(data_centres)
 
+    def _beat(self) -> None:
+        super()._beat()
+        self._update_plain_ports()
+
     def dump(self) -> dict[str, Any]:
         """Returns the state of the process, without secrets."""
         return super().dump() | {
@@ -129,7 +197,13 @@
     def _on_caller_datagram(
         self, data: bytes, address: tuple[str, int]
     ) -> None:
-        action = self.core.on_caller_datagram(data, address)
+        packet = self.core.forward(data, address)
+        if packet is not None:
+            self.peer.send(*packet)
+            return
+        action = self.core.on_caller_datagram(
+            data, address, now_ms=clock.now_ms()
+        )
         match action:
             case actions.SendPeer(agent, datagram):
                 self.peer.send(datagram, agent)
@@ -141,6 +215,9 @@
     ) -> None:
         """Handles a verified datagram other than a heartbeat."""
         del sender
+        if kind == messages.Kind.PLAIN_REPLY:
+            self.plain_ports.reply(wire.decode_body(kind, body))
+            return
         if kind != messages.Kind.RELAY:
             self._count_drop("unexpected_kind")
             return
--- a/sapphirelift/_node.py
+++ b/sapphirelift/_node.py
@@ -41,13 +41,22 @@
         self.rotation = _key_rotation.KeyRotation(self.ring)
         self.state = membership.UP
         self.sync = _record_sync.RecordSync(
-            settings, on_changes=self.apply_changes, rng=self.rng
+            settings,
+            on_changes=self.apply_changes,
+            epoch=self.current_epoch,
+            on_read=self.on_records_read,
+            rng=self.rng,
         )
         self.replica = self.sync.replica
-        self.members = membership.Membership()
+        self.members = membership.Membership(
+            own_name=settings.name, repairs=settings.role == "balancer"
+        )
         self.peer = endpoint.Endpoint(
             settings.peer.address, self._on_peer_datagram
         )
+        # Heartbeats leave from a socket of their own, which is replaced when
+        # its path goes silent; the peer address stays.
+        self.control = self._new_control_socket()
         self.heartbeats = heartbeats.Heartbeats(
             name=settings.name,
             role=settings.role,
@@ -88,6 +97,7 @@
         """Starts all tasks."""
         self.sync.start()
         self.peer.start()
+        self.control.start()
         self.admin.start()
         eventlet.spawn(self._beat_forever)
         self.announcer.announce()
@@ -106,18 +116,47 @@
                 "refused": self.rotation.refused,
             },
             "peer_bytes_sent": self.peer.bytes_sent,
+            "control_bytes_sent": self.control.bytes_sent,
             "drops": self.drops,
+            "membership": dict(self.members.counters),
             "members": {
                 m.name: {
                     "role": m.role,
                     "state": m.state,
                     "suspected": m.suspected,
+                    "marked": m.marked,
                     "incarnation": m.incarnation,
                 }
                 for m in self.members.members.values()
             },
         } | self.sync.dump()
 
+    def _new_control_socket(self) -> endpoint.Endpoint:
+        return endpoint.Endpoint(
+            messages.Address(self.settings.peer.ip, 0), self._on_peer_datagram
+        )
+
+    def _replace_control_socket(self) -> None:
+        former, self.control = self.control, self._new_control_socket()
+        self.control.bytes_sent = former.bytes_sent
+        self.control.start()
+        former.stop()
+        self._count_drop("control_socket_silent")
+
+    def current_epoch(self) -> int:
+        """Returns a number that changes when the process was frozen."""
+        return 0
+
+    def on_records_read(self, epoch: int) -> None:
+        """Called when records asked for in ``epoch`` are in force."""
+
+    def on_revision_confirmed(self, sequence: int) -> None:
+        """Called when a watcher knows no newer revision than this process.
+
+        Args:
+            sequence: Sequence number of the heartbeat that it answers.
+        """
+
     # Records.
 
     def apply_changes(self, changes: Iterable[replica.StoredObject]) -> None:
@@ -146,7 +185,7 @@
             self.members.remove(name, revision=change.revision)
         else:
             self.members.apply_announcement(
-                change.value, revision=change.revision
+                change.value, revision=change.revision, key=change.key
             )
 
     # Announcement and heartbeats.
@@ -174,6 +213,7 @@
 
     def _beat_forever(self) -> None:
         while True:
+            self.carry_out(self.members.tick(clock.now_ms()))
             self._beat()
             interval_s = self.settings.heartbeat_interval_ms / 1000
             eventlet.sleep(interval_s * self.rng.uniform(0.9, 1.1))
@@ -184,10 +224,9 @@
                 state=self.state,
                 load=self.load,
                 revision=self.replica.revision,
+                now_ms=clock.now_ms(),
             )
         )
-        for member in self.members.tick(clock.now_ms()):
-            eliot.log_message("member_suspected", name=member.name)
 
     def announce_state(self, state: str) -> None:
         """Changes the state and tells watchers and platform."""
@@ -216,12 +255,15 @@
                         self.on_heartbeat(beat)
                     self.carry_out(out)
                 case messages.Kind.HEARTBEAT_ACK:
+                    ack = wire.decode_body(kind, body)
                     out = self.heartbeats.on_ack(
-                        wire.decode_body(kind, body),
+                        ack,
                         sender,
                         revision=self.replica.revision,
                         now_ms=clock.now_ms(),
                     )
+                    if not out:
+                        self.on_revision_confirmed(ack.sequence)
                     self.carry_out(out)
                 case _:
                     self.on_peer_datagram(kind, body, sender)
@@ -248,6 +290,14 @@
             match action:
                 case actions.SendPeer(address, data):
                     self.peer.send(data, address)
+                case actions.SendControl(address, data):
+                    self.control.send(data, address)
+                case actions.ReplaceControlSocket():
+                    self._replace_control_socket()
+                case actions.MarkMember(key, revision, value):
+                    eventlet.spawn(self._mark_member, key, revision, value)
+                case actions.DeleteMember(key, revision):
+                    eventlet.spawn(self._delete_member, key, revision)
                 case actions.FetchRecords(address):
                     eventlet.spawn(self.sync.fetch, address)
                 case actions.LogState(event, fields):
@@ -255,6 +305,24 @@
                 case _:
                     self.carry_out_own(action)
 
+    def _mark_member(
+        self, key: str, revision: int, value: dict[str, Any]
+    ) -> None:
+        try:
+            self.sync.platform.put(key, value, expected_revision=revision)
+        except errors.ConflictError:
+            self._count_drop("mark_conflict")
+        except errors.PlatformUnavailableError:
+            self._count_drop("mark_failed")
+
+    def _delete_member(self, key: str, revision: int) -> None:
+        try:
+            self.sync.platform.delete(key, expected_revision=revision)
+        except errors.ConflictError:
+            self._count_drop("delete_conflict")
+        except errors.PlatformUnavailableError:
+            self._count_drop("delete_failed")
+
     def carry_out_own(self, action: actions.Action) -> None:
         """Carries out an action that only one role has."""
         raise NotImplementedError
--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -54,8 +54,19 @@
         settings: settings_module.Settings,
         *,
         on_changes: OnChanges,
+        epoch: Callable[[], int] = lambda: 0,
+        on_read: Callable[[int], None] = lambda epoch: None,
         rng: random.Random,
     ) -> None:
+        """Creates an empty replica.
+
+        Args:
+            settings: Settings of the daemon.
+            on_changes: Brings changed objects into force.
+            epoch: Returns a number that changes when the process was frozen.
+            on_read: Called after a read, with the epoch in which it began.
+            rng: Source of jitter.
+        """
         self.replica = replica.Replica()
         self.platform = client.ObjectClient(
             settings.platform_url, name=settings.name, rng=rng
@@ -69,6 +80,8 @@
         self.watch_silent = False
         self._settings = settings
         self._on_changes = on_changes
+        self._epoch = epoch
+        self._on_read = on_read
         self._rng = rng
         self._fetching: set[messages.Address] = set()
         self._older_reads = 0
@@ -117,6 +130,7 @@
                 return
 
     def _watch(self, since: int) -> bool:
+        epoch = self._epoch()
         try:
             listing = self.platform.watch(
                 *PREFIXES, since=since, wait_ms=WATCH_WAIT_MS
@@ -126,7 +140,10 @@
             self._set_watch_silent(True)
             raise
         self._set_watch_silent(False)
-        return self._apply_listing(listing, since=since)
+        is_new = self._apply_listing(listing, since=since)
+        if is_new:
+            self._on_read(epoch)
+        return is_new
 
     def _set_watch_silent(self, silent: bool) -> None:
         if silent != self.watch_silent:
@@ -240,6 +257,7 @@
         if address in self._fetching or len(self._fetching) >= MAX_FETCHES:
             return
         self._fetching.add(address)
+        epoch = self._epoch()
         try:
             reply = records.fetch(
                 address, since=self.replica.revision, key=self._key
@@ -250,12 +268,13 @@
         finally:
             self._fetching.discard(address)
         self.counters["fetches"] += 1
-        self._apply_difference(reply)
+        if self._apply_difference(reply):
+            self._on_read(epoch)
 
-    def _apply_difference(self, reply: replica.Difference) -> None:
+    def _apply_difference(self, reply: replica.Difference) -> bool:
         if reply.revision < self.replica.revision:
             self.counters["older_answers_refused"] += 1
-            return
+            return False
         if reply.complete:
             changes = self.replica.replace(
                 reply.objects, revision=reply.revision, trusted=True
@@ -264,3 +283,4 @@
             changes = self.replica.apply(reply.objects, revision=reply.revision)
         if changes:
             self._on_changes(changes)
+        return True
--- a/sapphirelift/core/agent.py
+++ b/sapphirelift/core/agent.py
@@ -14,6 +14,7 @@
 from sapphirelift.core import actions
 from sapphirelift.core import balance
 from sapphirelift.core import flows
+from sapphirelift.core import hand_on
 from sapphirelift.core import keys
 from sapphirelift.core import limits as limits_module
 from sapphirelift.core import load
@@ -24,6 +25,9 @@
 from sapphirelift.core import token
 
 _Kind = messages.Kind
+PLAIN_KINDS = frozenset(
+    (_Kind.PLAIN, _Kind.PLAIN_ASK, _Kind.PLAIN_OWNED, _Kind.PLAIN_RETURN)
+)
 
 
 class AgentIdentity(NamedTuple):
@@ -79,7 +83,14 @@
     """The backend server accepts no connections; it is cold afterwards."""
 
 
-Event = PeerDatagram | RunFinished | Tick | Drain | Withdraw | BackendGone
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """The agent ends; plain flows that are left go to others."""
+
+
+Event = (
+    PeerDatagram | RunFinished | Tick | Drain | Withdraw | BackendGone | Release
+)
 
 
 class AgentCore:
@@ -101,7 +112,10 @@
         self.withdrawn = False
         self.flows: dict[bytes, flows.Flow] = {}
         self.counters: collections.Counter[str] = collections.Counter()
-        self._out = outbox.Outbox(ring)
+        self._out = outbox.Outbox(
+            ring,
+            return_path=(members or membership.Membership()).return_path,
+        )
         self.requests = requests.Requests(
             limits=limits,
             flow_table=self.flows,
@@ -124,6 +138,13 @@
             own=self._own_load,
             refusal=lambda: "" if self._is_serving() else self._refusal(),
         )
+        self.hand_on = hand_on.HandOn(
+            address=identity.address,
+            service=identity.service,
+            out=self._out,
+            admission=self.requests.admission,
+            counters=self.counters,
+        )
         self._next_serial = 1
         self._service_id = keys.service_id(identity.service)
         self._sweep_ms = 0
@@ -135,7 +156,9 @@
                 case PeerDatagram():
                     self._on_peer_datagram(event, now_ms)
                 case RunFinished(run_id, outcome, shed, failed):
-                    self.requests.on_run_finished(
+                    # Runs of plain datagrams have negative numbers.
+                    owner = self.requests if run_id > 0 else self.hand_on
+                    owner.on_run_finished(
                         run_id,
                         outcome,
                         shed=shed,
@@ -150,9 +173,12 @@
                     self._on_withdraw(out, now_ms)
                 case BackendGone():
                     self.requests.admission.restart(now_ms)
+                case Release():
+                    self.hand_on.release()
         except errors.DatagramError as error:
             self.counters[f"dropped_{error.reason}"] += 1
         self.requests.start_runs(now_ms)
+        self.hand_on.start_runs(now_ms)
         self.balance.observe(now_ms)
         return self._out.take()
 
@@ -178,6 +204,8 @@
                 self.balance.on_datagram(
                     event.kind, event.body, event.sender, now_ms
                 )
+            case kind if kind in PLAIN_KINDS:
+                self.hand_on.handle(kind, event.body, event.sender, now_ms)
             case _:
                 raise errors.DatagramError("unexpected_kind")
 
@@ -346,6 +374,7 @@
         self.requests.expire(now_ms)
         self.requests.send_responses(now_ms)
         self.balance.tick(now_ms)
+        self.hand_on.tick(now_ms)
         if now_ms >= self._sweep_ms:
             self._sweep_ms = now_ms + 250
             self._sweep(now_ms)
@@ -375,6 +404,7 @@
         if self.state != membership.UP:
             return
         self.state = self.requests.state = membership.DRAINING
+        self.hand_on.state = membership.DRAINING
         self._out.add(actions.LogState("agent_draining", {}))
         self.balance.refuse_unstarted(self.state, now_ms)
         for flow in self.flows.values():
@@ -385,6 +415,7 @@
         if out == self.withdrawn:
             return
         self.withdrawn = out
+        self.hand_on.withdraw(out)
         self._out.add(actions.LogState("data_centre_withdrawn", {"out": out}))
         if not out:
             self.requests.admission.restart(now_ms)
--- a/sapphirelift/core/balancer.py
+++ b/sapphirelift/core/balancer.py
@@ -1,12 +1,14 @@
 """Decisions of a balancer. It keeps no state per flow."""
 
 import collections
-from typing import NamedTuple
 
 from sapphirelift import errors
 from sapphirelift import messages
 from sapphirelift import wire
 from sapphirelift.core import actions
+from sapphirelift.core import forwarding
+from sapphirelift.core import freshness
+from sapphirelift.core import generations
 from sapphirelift.core import keys
 from sapphirelift.core import membership
 from sapphirelift.core import routing
@@ -16,14 +18,6 @@
 CANDIDATES = 3
 
 
-class _Candidate(NamedTuple):
-    """An agent as a target of rendezvous hashing."""
-
-    name: str
-    weight: float
-    address: messages.Address
-
-
 class BalancerCore:
     """Routing of caller datagrams to agents and back."""
 
@@ -37,32 +31,62 @@
         self.address = address
         self.members = members
         self.ring = ring
+        self._forwarder = forwarding.Forwarder(ring)
+        self.freshness = freshness.Freshness()
+        self.plain = generations.PlainRouter(
+            address=address, members=members, ring=ring, targets=self._targets
+        )
         self.withdrawn: set[str] = set()
         self.withdrawn_ids: set[int] = set()
+        self._targets_by_service: dict[str, list[generations.Candidate]] = {}
+        self._targets_version = -1
         self.counters: collections.Counter[str] = collections.Counter()
 
     def set_withdrawn(self, data_centres: set[str]) -> None:
         """Sets the data centres that operators have taken out."""
         self.withdrawn = data_centres
+        self.plain.withdrawn = data_centres
+        self.members.version += 1
         self.withdrawn_ids = {keys.data_centre_id(n) for n in data_centres}
 
     def on_caller_datagram(
-        self, data: bytes, caller: tuple[str, int]
+        self, data: bytes, caller: tuple[str, int], *, now_ms: int
     ) -> actions.SendPeer | actions.SendCaller | None:
         """Routes one datagram of a caller.
 
+        A balancer that was frozen opens no flows before it has compared
+        its revision; the caller repeats its OPEN through another one.
+
         Returns:
             What to send, or None if the datagram was dropped and counted.
         """
         try:
             header = wire.read_caller_header(data)
             if header.kind == _Kind.OPEN:
+                self.freshness.observe(now_ms)
+                if not self.freshness.is_fresh(now_ms):
+                    raise errors.DatagramError("stale_records")
                 return self._route_open(data, caller)
             return self._route_flow(header, data, caller)
         except errors.DatagramError as error:
             self.counters[f"dropped_{error.reason}"] += 1
             return None
 
+    def forward(
+        self, data: bytes, caller: tuple[str, int]
+    ) -> forwarding.Packet | None:
+        """Forwards a datagram of an established flow, the frequent case.
+
+        Returns:
+            None if ``on_caller_datagram`` is to decide.
+        """
+        if self._forwarder.ring_version != self.ring.version:
+            self._forwarder = forwarding.Forwarder(self.ring)
+        packet = self._forwarder.forward(data, caller, self.withdrawn_ids)
+        if packet is not None:
+            self.counters["forwarded"] += 1
+        return packet
+
     def _route_flow(
         self,
         header: wire.CallerHeader,
@@ -113,12 +137,51 @@
             wire.encode_peer(_Kind.OPEN_FORWARD, body, self.ring),
         )
 
-    def _targets(self, service: str) -> list[_Candidate]:
-        return [
-            _Candidate(m.name, m.weight, m.address)
-            for m in self.members.with_role("agent")
-            if m.service == service and m.data_centre not in self.withdrawn
-        ]
+    @property
+    def packets(self) -> int:
+        """Packets carried for flows so far, in both directions."""
+        carried = ("forwarded", "opens_forwarded", "relayed")
+        return sum(self.counters[name] for name in carried)
+
+    def _targets(self, service: str) -> list[generations.Candidate]:
+        """Returns the eligible agents of a service.
+
+        The lists are kept until the members change: a scan of 7,840 members
+        for each OPEN takes milliseconds.
+        """
+        if self._targets_version != self.members.version:
+            self._targets_by_service = {}
+            for member in self.members.with_role("agent"):
+                if member.data_centre not in self.withdrawn:
+                    self._targets_by_service.setdefault(
+                        member.service, []
+                    ).append(
+                        generations.Candidate(
+                            member.name, member.weight, member.address
+                        )
+                    )
+            self._targets_version = self.members.version
+        return self._targets_by_service.get(service, [])
+
+    def on_plain(
+        self,
+        service: str,
+        payload: bytes,
+        caller: tuple[str, int],
+        *,
+        now_ms: int,
+    ) -> actions.SendPeer | None:
+        """Routes one datagram that came in on a service's own port."""
+        self.freshness.observe(now_ms)
+        try:
+            if not self.freshness.is_fresh(now_ms):
+                raise errors.DatagramError("stale_records")
+            action = self.plain.route(service, payload, caller, now_ms)
+        except errors.DatagramError as error:
+            self.counters[f"dropped_{error.reason}"] += 1
+            return None
+        self.counters["forwarded"] += 1
+        return action
 
     def on_relay(self, body: bytes) -> actions.SendCaller | None:
         """Passes an agent's datagram on to its caller."""
--- a/sapphirelift/core/keys.py
+++ b/sapphirelift/core/keys.py
@@ -1,5 +1,6 @@
 """Keyed hashes that authenticate tokens and datagrams."""
 
+import functools
 import hashlib
 import hmac
 
@@ -11,11 +12,15 @@
 
     One ring is shared by all parts of a process, so that a rotation reaches
     them all.
+
+    Attributes:
+        version: Changes with each change of the ring.
     """
 
     def __init__(self, current_id: int, keys: dict[int, bytes]) -> None:
         self.current_id = current_id
         self.keys = keys
+        self.version = 0
 
     def __repr__(self) -> str:
         """Shows the ids only; keys are secret."""
@@ -31,11 +36,13 @@
         if keys.get(self.current_id) != self.keys[self.current_id]:
             self.current_id = min(keys)
         self.keys = dict(keys)
+        self.version += 1
 
     def use(self, key_id: int) -> None:
         """Signs with a key from now on, if it is listed."""
         if key_id in self.keys:
             self.current_id = key_id
+            self.version += 1
 
     def sign(self, data: bytes, *, size_bytes: int) -> bytes:
         """Returns the keyed BLAKE2b hash of ``data`` under the current key."""
@@ -55,7 +62,15 @@
     >>> len(keyed_hash(b"k" * 16, b"data", 8))
     8
     """
-    return hashlib.blake2b(data, key=key, digest_size=size_bytes).digest()
+    hasher = _hasher(key, size_bytes).copy()
+    hasher.update(data)
+    return hasher.digest()
+
+
+@functools.lru_cache(maxsize=16)
+def _hasher(key: bytes, size_bytes: int) -> "hashlib.blake2b":
+    """Returns a hasher to copy; setting up a key takes 0.2 us each time."""
+    return hashlib.blake2b(key=key, digest_size=size_bytes)
 
 
 def service_id(name: str) -> int:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -322,15 +322,22 @@
         fleet.start_platform()
         platform = client.ObjectClient(fleet.platform_url)
         key = "records/service/catalogue"
-        value = {"schema_version": 2, "kind": "service", "name": "catalogue"}
+        value = {
+            "schema_version": 2,
+            "kind": "service",
+            "name": "catalogue",
+            "branch": "dune-works",
+        }
         revision = platform.put(key, value)
         set_faults(fleet, delay_ms=300, lose_write_answers=lost)
         writers = []
         for number in range(2):
             path = fleet.directory / f"{number}.json"
-            path.write_text(json.dumps(value | {"number": number}))
-            command = ["apply", str(path), f"--expected_revision={revision}"]
-            url = f"--platform_url={fleet.platform_url}"
+            path.write_text(
+                json.dumps(value | {"labels": {"writer": str(number)}})
+            )
+            command = ["apply", str(path), f"--revision={revision}"]
+            url = f"--platform={fleet.platform_url}"
             writers.append(
                 subprocess.Popen(
                     [sys.executable, "-m", "sapphirelift.operators.cli"]
@@ -345,7 +352,7 @@
         held = platform.get(key)
         assert held is not None
         assert held.value is not None
-        assert held.value["number"] == statuses.index(0)
+        assert held.value["labels"] == {"writer": str(statuses.index(0))}
         assert f"revision {held.revision}" in printed[statuses.index(4)]
 
 
