--- a/sapphirelift/_node.py
+++ b/sapphirelift/_node.py
@@ -99,6 +99,8 @@
             "revision": self.replica.revision,
             "platform_calls": self.platform.calls,
             "peer_bytes_sent": self.peer.bytes_sent,
+            "peer_sent_bytes_by_kind": _by_kind(self.peer.sent_bytes_by_kind),
+            "peer_received_by_kind": _by_kind(self.peer.received_by_kind),
             "drops": self.drops,
             "members": {
                 m.name: {
@@ -307,3 +309,8 @@
     def carry_out_own(self, action: actions.Action) -> None:
         """Carries out an action that only one role has."""
         raise NotImplementedError
+
+
+def _by_kind(counts: list[int]) -> dict[str, int]:
+    """Names the kinds whose count is not zero."""
+    return {k.name: counts[k] for k in messages.Kind if counts[k]}
--- a/sapphirelift/peers/endpoint.py
+++ b/sapphirelift/peers/endpoint.py
@@ -10,12 +10,19 @@
 from sapphirelift import wire
 
 _BUFFER_BYTES = 4 << 20
+_KIND_OFFSET = 2
 
 Handler = Callable[[bytes, tuple[str, int]], None]
 
 
 class Endpoint:
-    """A bound UDP socket whose task passes each datagram to a handler."""
+    """A bound UDP socket whose task passes each datagram to a handler.
+
+    Attributes:
+        bytes_sent: Bytes sent, all kinds together.
+        sent_bytes_by_kind: Bytes sent, indexed by datagram kind.
+        received_by_kind: Datagrams received, indexed by datagram kind.
+    """
 
     def __init__(self, address: messages.Address, handler: Handler) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -28,6 +35,8 @@
         self._task: eventlet.greenthread.GreenThread | None = None
         self.bytes_sent = 0
         self.datagrams_received = 0
+        self.sent_bytes_by_kind = [0] * 256
+        self.received_by_kind = [0] * 256
 
     def start(self) -> None:
         """Starts to receive."""
@@ -44,6 +53,7 @@
         try:
             self._socket.sendto(data, address)
             self.bytes_sent += len(data)
+            self.sent_bytes_by_kind[data[_KIND_OFFSET]] += len(data)
         except OSError:
             return
 
@@ -56,4 +66,6 @@
             except ConnectionError:
                 continue
             self.datagrams_received += 1
+            if len(data) > _KIND_OFFSET:
+                self.received_by_kind[data[_KIND_OFFSET]] += 1
             self._handler(data, address)
--- a/sapphirelift/standins/backend_server.py
+++ b/sapphirelift/standins/backend_server.py
@@ -8,6 +8,7 @@
 import json
 import sys
 import time
+import urllib.parse
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Any
@@ -23,7 +24,8 @@
     """Behaviour of the stand-in.
 
     Attributes:
-        work_ms: Time that a request takes.
+        work_ms: Time that a request takes, unless its query has ``work_ms``.
+        speed: Factor by which the backend server is faster than that.
         slots: Requests beyond this number at once count as overload.
     """
 
@@ -31,6 +33,7 @@
     name: str = "backend"
     service: str = ""
     work_ms: float = 5.0
+    speed: float = 1.0
     slots: int = 4
 
 
@@ -75,7 +78,7 @@
         if self.busy > self.options.slots:
             self.counters["overload"] += 1
         try:
-            eventlet.sleep(self.options.work_ms / 1000)
+            eventlet.sleep(self._work_ms(record["query"]) / 1000)
         finally:
             self.busy -= 1
         if path.startswith("/bytes/"):
@@ -83,6 +86,11 @@
             return (self.options.name.encode() * (count + 1))[:count]
         return body
 
+    def _work_ms(self, query: str) -> float:
+        wanted = dict(urllib.parse.parse_qsl(query)).get("work_ms")
+        work_ms = self.options.work_ms if wanted is None else float(wanted)
+        return work_ms / self.options.speed
+
 
 def serve(options: BackendOptions) -> None:
     """Serves the stand-in on a loopback port."""
