--- /dev/null
+++ b/sapphirelift/bench/commands.py
@@ -0,0 +1,73 @@
+"""Commands of ``sapphirelift bench``."""
+
+import json
+import pathlib
+
+from sapphirelift import errors
+from sapphirelift.bench import report as report_module
+from sapphirelift.bench import runner
+from sapphirelift.bench import scenarios
+from sapphirelift.bench import sizes
+
+
+class Bench:
+    """Measures the product by real processes on this machine."""
+
+    def list(self) -> str:
+        """Lists the scenarios."""
+        return "\n".join(
+            f"{scenario.name:<18}{scenario.summary}"
+            for scenario in scenarios.SCENARIOS.values()
+        )
+
+    def run(
+        self,
+        name: str,
+        seed: int = 1,
+        output: str | None = None,
+        size: str = "pihlajakoti",
+        duration_s: float = 20.0,
+        logs: str | None = None,
+    ) -> str:
+        """Runs a scenario and prints its figures beside the bounds.
+
+        Args:
+            name: Scenario, see ``list``.
+            seed: Seed of the load.
+            output: JSON file for the result.
+            size: ``dune-works`` or ``pihlajakoti``.
+            duration_s: Measured time.
+            logs: Existing directory for the processes' logs.
+        """
+        scenario = scenarios.SCENARIOS.get(name)
+        if scenario is None:
+            raise errors.RecordError(
+                f"no scenario {name}", remedy="see `sapphirelift bench list`"
+            )
+        if size not in sizes.SIZES:
+            raise errors.RecordError(
+                f"no size {size}", remedy=f"use one of {', '.join(sizes.SIZES)}"
+            )
+        result = runner.run(
+            scenario,
+            size=sizes.SIZES[size],
+            seed=seed,
+            duration_s=duration_s,
+            directory=pathlib.Path(logs) if logs else None,
+        )
+        if output:
+            pathlib.Path(output).write_text(json.dumps(result, indent=1))
+        return report_module.table(result)
+
+    def report(self, file: str, output: str) -> str:
+        """Writes an HTML report of a saved run."""
+        try:
+            result = json.loads(pathlib.Path(file).read_text())
+            page = report_module.page(result)
+        except (OSError, ValueError, KeyError) as error:
+            raise errors.RecordError(
+                f"{file} is not a saved run: {error!r}",
+                remedy="save one with `sapphirelift bench run --output=FILE`",
+            ) from error
+        pathlib.Path(output).write_text(page)
+        return f"wrote {output}"
--- a/sapphirelift/bench/fleet.py
+++ b/sapphirelift/bench/fleet.py
@@ -14,6 +14,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 from sapphirelift import messages
 
 CLUSTER_KEY_HEX = "5a" * 32
@@ -254,3 +256,8 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+
+
+def to_json(options: msgspec.Struct) -> str:
+    """Encodes the options of a program as its command-line argument."""
+    return msgspec.json.encode(options).decode()
--- /dev/null
+++ b/sapphirelift/bench/scenarios.py
@@ -0,0 +1,169 @@
+"""Scenarios: what changes while the load runs, and the bounds that hold."""
+
+import dataclasses
+from collections.abc import Callable
+
+from sapphirelift.bench import experiment
+from sapphirelift.bench import results
+
+_Bound = results.Bound
+_Experiment = experiment.Experiment
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """A change during the run.
+
+    Attributes:
+        at: Time as a fraction of the measured duration.
+        run: The change.
+    """
+
+    at: float
+    run: Callable[[_Experiment], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scenario:
+    """A load and its changes.
+
+    The first step divides the measured duration into a part before and a
+    part after, which the ratio figures compare.
+
+    Attributes:
+        utilisation: Offered load as a fraction of all slots' capacity.
+        bounds: Bounds besides those that hold in every scenario.
+        slow_target_speed: Speed of the first target of the first service.
+        slow_callers: Whether a slow caller joins at phase 1.
+        deadline_ms: Deadline of the requests.
+    """
+
+    name: str
+    summary: str
+    steps: tuple[Step, ...] = ()
+    utilisation: float = 0.6
+    bounds: tuple[_Bound, ...] = ()
+    slow_target_speed: float = 1.0
+    slow_callers: bool = False
+    deadline_ms: int = 5000
+
+
+def _write(run: _Experiment) -> None:
+    run.write_config()
+
+
+_WRITES = (Step(0.3, _write), Step(0.7, _write))
+
+_ALL = (
+    Scenario(
+        "steady",
+        "no change but two configuration writes",
+        steps=_WRITES,
+        bounds=(
+            _Bound("imbalance_max_over_mean", "<=", 1.10, only_slots=4),
+            _Bound("requests_unknown", "<=", 0),
+        ),
+    ),
+    Scenario(
+        "balancer_churn",
+        "balancers are killed, started and stopped by plan",
+        steps=(
+            Step(0.2, lambda run: run.kill_balancer("balancer-1")),
+            Step(0.35, lambda run: run.start_balancer("balancer-4")),
+            Step(0.5, lambda run: run.stop_balancer("balancer-2")),
+            Step(0.6, _write),
+            Step(0.7, lambda run: run.start_balancer("balancer-5")),
+            Step(0.8, lambda run: run.stop_balancer("balancer-3")),
+        ),
+        bounds=(_Bound("requests_unknown", "<=", 0),),
+    ),
+    Scenario(
+        "backend_churn",
+        "backend servers stop by plan, start cold and become cold again",
+        utilisation=0.5,
+        steps=(
+            Step(0.15, lambda run: run.stop_target(run.target(0))),
+            Step(0.3, lambda run: run.start_target("target-new")),
+            Step(0.45, lambda run: run.restart_target(run.target(0))),
+            Step(0.55, _write),
+            Step(0.7, lambda run: run.make_cold(run.target(1))),
+        ),
+        bounds=(
+            _Bound("cold_overload_events", "<=", 0),
+            _Bound("leaving_quiet_s", "<=", 3.0),
+        ),
+    ),
+    Scenario(
+        "data_centre",
+        "a data centre is withdrawn and returns",
+        utilisation=0.4,
+        steps=(
+            Step(0.3, lambda run: run.withdraw(1)),
+            Step(0.65, lambda run: run.restore(1)),
+        ),
+        bounds=(
+            _Bound("data_centre_quiet_s", "<=", 3.0),
+            _Bound("latency_p99_ratio", "<=", 2.0),
+        ),
+    ),
+    Scenario(
+        "slow_target",
+        "one target runs at half the speed",
+        slow_target_speed=0.5,
+        utilisation=0.5,
+        steps=_WRITES,
+        bounds=(_Bound("imbalance_max_over_mean", "<=", 1.25),),
+    ),
+    Scenario(
+        "slow_caller",
+        "a caller joins whose requests take 50 times longer",
+        utilisation=0.3,
+        slow_callers=True,
+        steps=(Step(0.4, lambda run: run.next_phase()),),
+        bounds=(_Bound("latency_p99_ratio", "<=", 1.5),),
+    ),
+    Scenario(
+        "overload",
+        "load at capacity, then at twice the capacity",
+        utilisation=1.0,
+        deadline_ms=1000,
+        steps=(Step(0.5, lambda run: run.set_rate(2.0)),),
+        bounds=(_Bound("goodput_ratio", ">=", 0.9),),
+    ),
+    Scenario(
+        "platform_outage",
+        "the platform is down for half of the run, a balancer starts then",
+        steps=(
+            Step(0.2, lambda run: run.set_platform_down(True)),
+            Step(0.35, lambda run: run.start_balancer("balancer-4")),
+            Step(0.45, lambda run: run.kill_balancer("balancer-1")),
+            Step(0.7, lambda run: run.set_platform_down(False)),
+            Step(0.72, _write),
+        ),
+        bounds=(_Bound("requests_unknown", "<=", 0),),
+    ),
+    Scenario(
+        "mixed",
+        "balancers, backend servers, a data centre and the platform together",
+        utilisation=0.4,
+        steps=(
+            Step(0.15, lambda run: run.stop_target(run.target(0))),
+            Step(0.16, lambda run: run.kill_balancer("balancer-1")),
+            Step(0.25, lambda run: run.start_balancer("balancer-4")),
+            Step(0.3, lambda run: run.set_platform_down(True)),
+            Step(0.35, lambda run: run.restart_target(run.target(0))),
+            Step(0.4, lambda run: run.freeze("balancer-2")),
+            Step(0.45, lambda run: run.set_platform_down(False)),
+            Step(0.5, lambda run: run.withdraw(1)),
+            Step(0.6, lambda run: run.resume("balancer-2")),
+            Step(0.75, lambda run: run.restore(1)),
+            Step(0.8, lambda run: run.make_cold(run.target(3))),
+        ),
+        bounds=(
+            _Bound("data_centre_quiet_s", "<=", 3.0),
+            _Bound("leaving_quiet_s", "<=", 3.0),
+            _Bound("cold_overload_events", "<=", 0),
+        ),
+    ),
+)
+SCENARIOS = {scenario.name: scenario for scenario in _ALL}
--- /dev/null
+++ b/sapphirelift/demo.py
@@ -0,0 +1,6 @@
+"""Demo."""
+
+
+def main() -> int:
+    """Runs."""
+    return 0
--- a/sapphirelift/operators/cli.py
+++ b/sapphirelift/operators/cli.py
@@ -8,7 +8,9 @@
 import fire
 
 import sapphirelift
+from sapphirelift import demo
 from sapphirelift import errors
+from sapphirelift.bench import commands as bench_commands
 from sapphirelift.platform import client
 
 REFUSED_STATUS = 1
@@ -21,11 +23,16 @@
 
     def __init__(self, platform_url: str = "http://127.0.0.1:8400") -> None:
         self._platform = client.ObjectClient(platform_url)
+        self.bench = bench_commands.Bench()
 
     def version(self) -> str:
         """Prints the version."""
         return sapphirelift.__version__
 
+    def demo(self) -> None:
+        """Shows the product at work in one process."""
+        sys.exit(demo.main())
+
     def apply(self, file: str) -> str:
         """Writes the record in a JSON file."""
         value = json.loads(pathlib.Path(file).read_text())
