--- a/sapphirelift/bench/report.py
+++ b/sapphirelift/bench/report.py
@@ -27,6 +27,12 @@
     "td{word-break:break-word}.missed{background:#fdd}.passed{background:#dfd}"
     "svg text{font:11px sans-serif}"
 )
+_COUNTS = (
+    "broken_flow_reasons",
+    "not_run_reasons",
+    "unknown_reasons",
+    "dropped_by_daemons",
+)
 _UNSHOWN = {"latency_histogram"}
 
 
@@ -46,7 +52,7 @@
         is_plain = not isinstance(value, dict | list | str)
         if is_plain and key not in bounded:
             lines.append(f"  {key:<28}{value!s:>12}")
-    for key in ("broken_flow_reasons", "not_run_reasons", "unknown_reasons"):
+    for key in _COUNTS:
         if result["figures"][key]:
             lines.append(f"  {key:<28}{json.dumps(result['figures'][key])}")
     return "\n".join(lines)
--- a/sapphirelift/bench/results.py
+++ b/sapphirelift/bench/results.py
@@ -239,7 +239,7 @@
 def _control(
     samples: Sequence[monitor.Sample], window: Window
 ) -> dict[str, Any]:
-    """Returns control bytes and use of each daemon, the largest first."""
+    """Returns control bytes, drops and use of each daemon."""
     groups: dict[tuple[str, int], list[monitor.Sample]] = {}
     for sample in samples:
         if window.begin_s <= sample.at_s <= window.end_s:
@@ -251,13 +251,21 @@
     for (name, _), group in groups.items():
         first, last = group[0], group[-1]
         length_s = last.at_s - first.at_s
-        if length_s < 2:
+        if length_s < 1:
             continue
         sent = last.control_bytes - first.control_bytes
         rates[name] = max(rates.get(name, 0), round(sent / length_s, 1))
         cores[name] = round((last.cpu_s - first.cpu_s) / length_s, 3)
         memory[name] = last.memory_kb
+    dropped: collections.Counter[str] = collections.Counter()
+    for group in groups.values():
+        last = group[-1]
+        dropped.update(last.drops)
+        dropped.update(
+            {k: v for k, v in last.counters.items() if "dropped" in k}
+        )
     return {
+        "dropped_by_daemons": dict(dropped),
         "control_bytes_per_s": max(rates.values(), default=0.0),
         "control_bytes_per_s_by_daemon": rates,
         "cores_by_daemon": cores,
--- a/sapphirelift/demo.py
+++ b/sapphirelift/demo.py
@@ -1,6 +1,339 @@
-"""Demo."""
+"""Shows the product at work, all roles in one process.
+
+``python -m sapphirelift.demo`` starts the platform stand-in, two balancers
+and four agents with sample backend servers on loopback, and callers. While
+requests run, an agent and a balancer are stopped by plan and a data centre
+is withdrawn and returned. The exit status is 1 if a promise did not hold.
+"""
+
+import sys
+import time
+
+import eventlet
+import eventlet.wsgi
+
+from sapphirelift import _agent_node
+from sapphirelift import _balancer_node
+from sapphirelift import messages
+from sapphirelift import settings as settings_module
+from sapphirelift.bench import fleet
+from sapphirelift.bench import judge
+from sapphirelift.callers import client
+from sapphirelift.core import caller as caller_core
+from sapphirelift.core import outcomes
+from sapphirelift.operators import cli
+from sapphirelift.standins import backend_server
+from sapphirelift.standins import platform
+
+SERVICE = "jasen-kauppa"
+DATA_CENTRES = ("etela-a", "etela-b")
+AGENTS = 4
+SESSIONS = 16
+THINK_S = 0.1
+QUIET_BOUND_S = 3.0
+READY_TIMEOUT_S = 10.0
+PHASE_S = 2.0
+_KEY_HEX = "5a" * 32
+
+
+def _endpoint() -> settings_module.Endpoint:
+    return settings_module.Endpoint("127.0.0.1", fleet.free_port())
+
+
+class Hosts:
+    """Stand-ins and daemons of the demo."""
+
+    def __init__(self) -> None:
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.platform_url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+        eventlet.spawn(
+            eventlet.wsgi.server,
+            listener,
+            platform.PlatformApp(),
+            log_output=False,
+        )
+        self.balancers: dict[str, _balancer_node.BalancerNode] = {}
+        self.agents: dict[str, _agent_node.AgentNode] = {}
+        self.backends: dict[str, backend_server.BackendApp] = {}
+
+    def start_balancer(self, name: str) -> None:
+        """Starts a balancer."""
+        node = _balancer_node.BalancerNode(
+            settings_module.Settings(
+                name=name,
+                role="balancer",
+                data_centre=DATA_CENTRES[0],
+                peer=_endpoint(),
+                admin=_endpoint(),
+                platform_url=self.platform_url,
+                cluster_key_hex=_KEY_HEX,
+                public=_endpoint(),
+                stop_timeout_ms=5000,
+            )
+        )
+        node.start()
+        self.balancers[name] = node
+
+    def start_agent(self, name: str, *, data_centre: str) -> None:
+        """Starts a sample backend server and its agent."""
+        listener = eventlet.listen(("127.0.0.1", 0))
+        app = backend_server.BackendApp(
+            backend_server.BackendOptions(name=name, service=SERVICE)
+        )
+        eventlet.spawn(eventlet.wsgi.server, listener, app, log_output=False)
+        self.backends[name] = app
+        node = _agent_node.AgentNode(
+            settings_module.Settings(
+                name=name,
+                role="agent",
+                data_centre=data_centre,
+                peer=_endpoint(),
+                admin=_endpoint(),
+                platform_url=self.platform_url,
+                cluster_key_hex=_KEY_HEX,
+                backend=settings_module.BackendSettings(
+                    "127.0.0.1", listener.getsockname()[1], SERVICE
+                ),
+                stop_timeout_ms=8000,
+            )
+        )
+        node.start()
+        self.agents[name] = node
+
+    def wait_ready(self) -> bool:
+        """Waits until each balancer knows all agents."""
+        with eventlet.Timeout(READY_TIMEOUT_S, False):
+            while not all(
+                len(node.members.with_role("agent")) == len(self.agents)
+                for node in self.balancers.values()
+            ):
+                eventlet.sleep(0.05)
+            return True
+        return False
+
+    def addresses(self) -> list[messages.Address]:
+        """Returns the balancers that the fabric sends to now."""
+        return [
+            node.public.address
+            for node in self.balancers.values()
+            if node.is_ready
+        ]
+
+    def runs(self) -> list[judge.Run]:
+        """Returns the record of all backend servers."""
+        found: list[judge.Run] = []
+        for name, app in self.backends.items():
+            found += judge.read_runs(name, SERVICE, app.runs)
+        return found
+
+
+class Traffic:
+    """Sessions of one caller that send requests all the time."""
+
+    def __init__(self, hosts: Hosts) -> None:
+        self.hosts = hosts
+        self.requests: list[judge.Request] = []
+        self.losses: list[judge.FlowLoss] = []
+        self.caller = client.Caller(hosts.addresses(), seed=1)
+        self.caller.on_notice = self._on_notice
+        self._is_stopped = False
+        self._tasks = [
+            eventlet.spawn(self._use, number) for number in range(SESSIONS)
+        ]
+        eventlet.spawn(self._follow_fabric)
+
+    def stop(self) -> None:
+        """Lets the running requests finish."""
+        self._is_stopped = True
+        for task in self._tasks:
+            task.wait()
+        self.caller.close()
+
+    def _on_notice(self, notice: caller_core.Notice) -> None:
+        match notice:
+            case caller_core.FlowBroken(session_id, reason):
+                owner = self.caller.owners.get(session_id, "")
+                self.losses.append(judge.FlowLoss(time.time(), owner, reason))
+
+    def _follow_fabric(self) -> None:
+        while not self._is_stopped:
+            self.caller.balancers = self.hosts.addresses()
+            eventlet.sleep(0.1)
+
+    def _use(self, number: int) -> None:
+        count = 0
+        while not self._is_stopped:
+            session = self.caller.open(SERVICE)
+            # A session of 20 requests; new flows may reach returned agents.
+            for _ in range(20):
+                if self._is_stopped:
+                    break
+                count += 1
+                self._request(session, f"{number}.{count}")
+                eventlet.sleep(THINK_S)
+            session.close()
+
+    def _request(self, session: client.Session, logical_id: str) -> None:
+        sent_s = time.time()
+        body = logical_id.encode() * 100
+        outcome = session.request(
+            "POST", f"/echo?id={logical_id}", body=body, idempotent=False
+        )
+        self.requests.append(
+            judge.Request(
+                logical_id=logical_id,
+                service=SERVICE,
+                caller="demo",
+                idempotent=False,
+                sent_s=sent_s,
+                done_s=time.time(),
+                outcome=_kind(outcome),
+                reason="",
+                is_intact=outcome == outcomes.Answered(200, body),
+            )
+        )
+
+
+def _kind(outcome: outcomes.Outcome) -> str:
+    match outcome:
+        case outcomes.Answered():
+            return judge.ANSWERED
+        case outcomes.NotRun():
+            return judge.NOT_RUN
+        case outcomes.Unknown():
+            return judge.UNKNOWN
+
+
+class Demo:
+    """The steps of the demo and the promises that it checks."""
+
+    def __init__(self) -> None:
+        self.is_kept = True
+        self.hosts = Hosts()
+
+    def run(self) -> bool:
+        """Runs all steps; returns whether every promise held."""
+        hosts = self.hosts
+        for name in ("balancer-1", "balancer-2"):
+            hosts.start_balancer(name)
+        for number in range(AGENTS):
+            hosts.start_agent(
+                f"agent-{number + 1}", data_centre=DATA_CENTRES[number % 2]
+            )
+        self._check(
+            hosts.wait_ready(), f"2 balancers know {AGENTS} agents of {SERVICE}"
+        )
+        traffic = Traffic(hosts)
+        eventlet.sleep(PHASE_S)
+        self._stop_agent(traffic)
+        self._stop_balancer(traffic)
+        out = self._withdraw()
+        traffic.stop()
+        self._judge(traffic, out)
+        return self.is_kept
+
+    def _stop_agent(self, traffic: Traffic) -> None:
+        print("agent-1 stops by plan")
+        node = self.hosts.agents["agent-1"]
+        node.stop()
+        node.peer.stop()
+        stopped_s = time.time()
+        eventlet.sleep(PHASE_S / 2)
+        late = [
+            run
+            for run in self.hosts.runs()
+            if run.target == "agent-1" and run.started_s > stopped_s
+        ]
+        moved = traffic.caller.moved_flows
+        self._check(moved > 0, f"{moved} flows moved to other agents")
+        self._check(
+            not node.core.flows and not late,
+            "agent-1 holds no flow and gets no more requests",
+        )
+
+    def _stop_balancer(self, traffic: Traffic) -> None:
+        print("balancer-1 stops by plan")
+        node = self.hosts.balancers["balancer-1"]
+        broken = len(traffic.losses)
+        node.stop()
+        node.peer.stop()
+        node.public.stop()
+        eventlet.sleep(PHASE_S / 2)
+        self._check(
+            len(traffic.losses) == broken, "balancer-2 carries all flows on"
+        )
+
+    def _withdraw(self) -> judge.Interval:
+        name = DATA_CENTRES[1]
+        operator = cli.Commands(self.hosts.platform_url)
+        begin_s = time.time()
+        print(f"withdraw: {operator.withdraw(name)}")
+        eventlet.sleep(QUIET_BOUND_S + PHASE_S)
+        out = judge.Interval(begin_s, time.time())
+        inside = {
+            agent
+            for agent, node in self.hosts.agents.items()
+            if node.settings.data_centre == name
+        }
+        quiet_s = judge.quiet_after_s(self.hosts.runs(), inside, out)
+        self._check(
+            quiet_s <= QUIET_BOUND_S,
+            f"last run in {name} after {quiet_s:.2f} s",
+        )
+        print(f"restore: {operator.restore(name)}")
+        restored_s = time.time()
+        eventlet.sleep(2 * PHASE_S)
+        returned = [
+            run
+            for run in self.hosts.runs()
+            if run.target in inside and run.started_s > restored_s
+        ]
+        self._check(
+            bool(returned), f"{len(returned)} runs in {name} after its return"
+        )
+        return out
+
+    def _judge(self, traffic: Traffic, out: judge.Interval) -> None:
+        excused = {
+            agent: [out]
+            for agent, node in self.hosts.agents.items()
+            if node.settings.data_centre == DATA_CENTRES[1]
+        }
+        broken, abandoned = judge.split_losses(traffic.losses, excused)
+        judged = judge.judge(traffic.requests, self.hosts.runs())
+        answered = sum(r.outcome == judge.ANSWERED for r in traffic.requests)
+        unknown = [
+            r
+            for r in traffic.requests
+            if r.outcome == judge.UNKNOWN
+            and not out.begin_s <= r.done_s <= out.end_s
+        ]
+        total = len(traffic.requests)
+        self._check(answered > 0, f"{total} requests, {answered} answered")
+        self._check(
+            not broken,
+            f"{len(broken)} flows broken, {len(abandoned)} abandoned in the "
+            "withdrawn data centre",
+        )
+        self._check(
+            not unknown, f"{len(unknown)} requests interrupted by planned stops"
+        )
+        self._check(judged.double_runs == 0, "no request ran twice")
+        self._check(judged.false_not_run == 0, "no refusal was false")
+        self._check(
+            judged.wrong_answers == 0, "every answer was its caller's own"
+        )
+
+    def _check(self, holds: bool, text: str) -> None:
+        self.is_kept = self.is_kept and holds
+        print(f"  {'ok' if holds else 'NOT KEPT'}: {text}", flush=True)
 
 
 def main() -> int:
-    """Runs."""
-    return 0
+    """Runs the demo; returns its exit status."""
+    eventlet.monkey_patch(thread=False)
+    return 0 if Demo().run() else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
