--- a/sapphirelift/bench/commands.py
+++ b/sapphirelift/bench/commands.py
@@ -2,8 +2,10 @@
 
 import json
 import pathlib
+from typing import Any
 
 from sapphirelift import errors
+from sapphirelift.bench import forwarding
 from sapphirelift.bench import report as report_module
 from sapphirelift.bench import runner
 from sapphirelift.bench import scenarios
@@ -15,10 +17,12 @@
 
     def list(self) -> str:
         """Lists the scenarios."""
-        return "\n".join(
+        lines = [
             f"{scenario.name:<18}{scenario.summary}"
             for scenario in scenarios.SCENARIOS.values()
-        )
+        ]
+        lines.append(f"{forwarding.NAME:<18}{forwarding.SUMMARY}")
+        return "\n".join(lines)
 
     def run(
         self,
@@ -39,6 +43,9 @@
             duration_s: Measured time.
             logs: Existing directory for the processes' logs.
         """
+        if name == forwarding.NAME:
+            result = runner.run_forwarding(seed=seed, duration_s=duration_s / 4)
+            return _save(result, output)
         scenario = scenarios.SCENARIOS.get(name)
         if scenario is None:
             raise errors.RecordError(
@@ -55,9 +62,7 @@
             duration_s=duration_s,
             directory=pathlib.Path(logs) if logs else None,
         )
-        if output:
-            pathlib.Path(output).write_text(json.dumps(result, indent=1))
-        return report_module.table(result)
+        return _save(result, output)
 
     def report(self, file: str, output: str) -> str:
         """Writes an HTML report of a saved run."""
@@ -71,3 +76,9 @@
             ) from error
         pathlib.Path(output).write_text(page)
         return f"wrote {output}"
+
+
+def _save(result: dict[str, Any], output: str | None) -> str:
+    if output:
+        pathlib.Path(output).write_text(json.dumps(result, indent=1))
+    return report_module.table(result)
--- a/sapphirelift/bench/monitor.py
+++ b/sapphirelift/bench/monitor.py
@@ -136,7 +136,7 @@
     def _sample(self, name: str) -> Sample | None:
         try:
             dump = self._fleet.dump(name)
-            cpu_s, memory_kb = _usage(self._fleet.processes[name].pid)
+            cpu_s, memory_kb = usage(self._fleet.processes[name].pid)
         except (OSError, ValueError, IndexError):
             return None
         sent = dump["peer_sent_bytes_by_kind"]
@@ -157,7 +157,7 @@
         )
 
 
-def _usage(pid: int) -> tuple[float, int]:
+def usage(pid: int) -> tuple[float, int]:
     """Returns processor seconds and resident kilobytes of a process."""
     stat = pathlib.Path(f"/proc/{pid}/stat").read_text()
     fields = stat.rsplit(")", 1)[1].split()
--- a/sapphirelift/bench/report.py
+++ b/sapphirelift/bench/report.py
@@ -33,6 +33,11 @@
     "unknown_reasons",
     "dropped_by_daemons",
 )
+_CHARTS = {
+    "outcomes_per_s": "Outcomes per second",
+    "latency_ms": "Latency p99 in ms",
+    "runs_per_s": "Runs per second at each backend server",
+}
 _UNSHOWN = {"latency_histogram"}
 
 
@@ -53,7 +58,7 @@
         if is_plain and key not in bounded:
             lines.append(f"  {key:<28}{value!s:>12}")
     for key in _COUNTS:
-        if result["figures"][key]:
+        if result["figures"].get(key):
             lines.append(f"  {key:<28}{json.dumps(result['figures'][key])}")
     return "\n".join(lines)
 
@@ -61,7 +66,7 @@
 def page(result: Mapping[str, Any]) -> str:
     """Returns a self-contained HTML page with time series."""
     series = result["series"]
-    step_s, events = series["step_s"], result["events"]
+    step_s, events = series.get("step_s", 1.0), result["events"]
     title = f"{result['scenario']} at {result['size']}, seed {result['seed']}"
     parts = [
         "<!DOCTYPE html><html><head><meta charset='utf-8'>",
@@ -69,12 +74,11 @@
         f"<body><h1>{html.escape(title)}</h1>",
         f"<p>{html.escape(result['summary'])}, {result['duration_s']:g} s</p>",
         _bounds_table(result["bounds"]),
-        "<h2>Outcomes per second</h2>",
-        _chart(series["outcomes_per_s"], step_s, events),
-        "<h2>Latency p99 in ms</h2>",
-        _chart(series["latency_ms"], step_s, events),
-        "<h2>Runs per second at each backend server</h2>",
-        _chart(series["runs_per_s"], step_s, events),
+        *(
+            f"<h2>{heading}</h2>" + _chart(series[key], step_s, events)
+            for key, heading in _CHARTS.items()
+            if key in series
+        ),
         "<h2>Changes</h2><ul>",
         *(
             f"<li>{event['at_s']:.2f} s: {html.escape(event['text'])}</li>"
--- a/sapphirelift/bench/runner.py
+++ b/sapphirelift/bench/runner.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from sapphirelift.bench import experiment
+from sapphirelift.bench import forwarding
 from sapphirelift.bench import results
 from sapphirelift.bench import scenarios
 from sapphirelift.bench import sizes
@@ -41,6 +42,24 @@
             one.close()
 
 
+def run_forwarding(*, seed: int, duration_s: float) -> dict[str, Any]:
+    """Measures one balancer alone; see ``forwarding``."""
+    with tempfile.TemporaryDirectory(prefix="sapphirelift-bench-") as path:
+        measured = forwarding.run(
+            pathlib.Path(path), seed=seed, duration_s=duration_s
+        )
+    return {
+        "format_version": FORMAT_VERSION,
+        "scenario": forwarding.NAME,
+        "summary": forwarding.SUMMARY,
+        "size": "one balancer",
+        "seed": seed,
+        "duration_s": duration_s,
+        "events": [],
+        "series": {},
+    } | measured
+
+
 def _run(
     one: experiment.Experiment, scenario: scenarios.Scenario, duration_s: float
 ) -> dict[str, Any]:
