--- a/sapphirelift/bench/scenarios.py
+++ b/sapphirelift/bench/scenarios.py
@@ -119,7 +119,7 @@
         "a caller joins whose requests take 50 times longer",
         utilisation=0.3,
         slow_callers=True,
-        steps=(Step(0.4, lambda run: run.next_phase()),),
+        steps=(Step(0.4, lambda run: run.next_phase()), Step(0.7, _write)),
         bounds=(_Bound("latency_p99_ratio", "<=", 1.5),),
     ),
     Scenario(
@@ -127,7 +127,7 @@
         "load at capacity, then at twice the capacity",
         utilisation=1.0,
         deadline_ms=1000,
-        steps=(Step(0.5, lambda run: run.set_rate(2.0)),),
+        steps=(Step(0.5, lambda run: run.set_rate(2.0)), Step(0.7, _write)),
         bounds=(_Bound("goodput_ratio", ">=", 0.9),),
     ),
     Scenario(
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -2,6 +2,7 @@
 
 import pathlib
 
+from sapphirelift.bench import forwarding
 from sapphirelift.bench import judge
 from sapphirelift.bench import report
 from sapphirelift.bench import runner
@@ -151,3 +152,10 @@
         page = report.page(result)
         assert page.count("<svg") == 3
         assert "<script" not in page and "src=" not in page
+
+    def test_forwarding_counts_both(self, tmp_path: pathlib.Path) -> None:
+        """Guards against a ratio of datagrams that never arrived."""
+        result = forwarding.run(tmp_path, seed=1, duration_s=1.5)
+        assert result["figures"]["forwarded_per_s"] > 0
+        assert result["figures"]["relay_per_s"] > 0
+        assert len(result["bounds"]) == 2
