Keep a balancer frozen past the quiet bound in the mixed scenario

The frozen balancer ran again 1.5 s after the withdrawal, so packets held in its socket could not break the bound of 3 s. The figures now also tell runs from packets, and unknown outcomes of requests that never ran.

--- a/sapphirelift/bench/results.py
+++ b/sapphirelift/bench/results.py
@@ -111,6 +111,7 @@
     ordinary = [r for r in measured if not r.caller.startswith(SLOW_PREFIX)]
     before = [r for r in ordinary if r.sent_s < window.change_s]
     after = [r for r in ordinary if r.sent_s >= window.change_s]
+    ran = {one.logical_id for one in run.runs}
     by_outcome = collections.Counter(r.outcome for r in seen.requests)
     values: dict[str, Any] = {
         "broken_flows": len(broken),
@@ -129,6 +130,10 @@
         "requests_ok": by_outcome[judge.ANSWERED],
         "requests_not_run": by_outcome[judge.NOT_RUN],
         "requests_unknown": by_outcome[judge.UNKNOWN],
+        "unknown_without_run": sum(
+            r.outcome == judge.UNKNOWN and r.logical_id not in ran
+            for r in seen.requests
+        ),
         "requests_unfinished": seen.unfinished,
         "requests_not_offered": seen.counters.get("not_offered", 0),
         "not_run_reasons": _reasons(seen.requests, judge.NOT_RUN),
@@ -280,6 +285,10 @@
     if len(known) < len(in_force):
         slowest = None
     quiet = [_data_centre_quiet_s(run, *outage) for outage in run.outages]
+    run_quiet = [
+        judge.quiet_after_s(run.runs, _targets_in(run, name), out)
+        for name, out in run.outages
+    ]
     leaving = [
         judge.quiet_after_s(run.runs, {name}, interval)
         for name, interval in run.departures
@@ -291,12 +300,19 @@
         "config_in_force_s": None if slowest is None else round(slowest, 2),
         "config_writes": [write._asdict() for write in run.writes],
         "data_centre_quiet_s": round(max(quiet), 2) if quiet else None,
+        "data_centre_run_quiet_s": (
+            round(max(run_quiet), 2) if run_quiet else None
+        ),
         "leaving_quiet_s": round(max(leaving), 2) if leaving else None,
         "cold_overload_events": judge.cold_overloads(run.runs, run.cold_starts),
         "backend_counters": dict(counters),
     }
 
 
+def _targets_in(run: experiment_module.Experiment, name: str) -> set[str]:
+    return {t.name for t in run.targets.values() if t.data_centre == name}
+
+
 def _data_centre_quiet_s(
     run: experiment_module.Experiment, name: str, out: judge.Interval
 ) -> float:
@@ -305,7 +321,7 @@
     Packets are seen by samples of the agents, at intervals of
     ``monitor.SAMPLE_INTERVAL_S``, so their time may be late by that much.
     """
-    targets = {t.name for t in run.targets.values() if t.data_centre == name}
+    targets = _targets_in(run, name)
     last_s = out.begin_s + judge.quiet_after_s(run.runs, targets, out)
     held: dict[tuple[str, int], int] = {}
     for sample in run.monitor.samples:
--- a/sapphirelift/bench/scenarios.py
+++ b/sapphirelift/bench/scenarios.py
@@ -153,11 +153,13 @@
             Step(0.3, lambda run: run.set_platform_down(True)),
             Step(0.35, lambda run: run.restart_target(run.target(0))),
             Step(0.4, lambda run: run.freeze("balancer-2")),
-            Step(0.45, lambda run: run.set_platform_down(False)),
-            Step(0.5, lambda run: run.withdraw(1)),
-            Step(0.6, lambda run: run.resume("balancer-2")),
-            Step(0.75, lambda run: run.restore(1)),
-            Step(0.8, lambda run: run.make_cold(run.target(3))),
+            Step(0.42, lambda run: run.set_platform_down(False)),
+            Step(0.45, lambda run: run.withdraw(1)),
+            # Later than the bound on data_centre_quiet_s, so that packets
+            # in the frozen balancer's socket would break it.
+            Step(0.7, lambda run: run.resume("balancer-2")),
+            Step(0.8, lambda run: run.restore(1)),
+            Step(0.85, lambda run: run.make_cold(run.target(3))),
         ),
         bounds=(
             _Bound("data_centre_quiet_s", "<=", 3.0),
