Sample daemons with a short timeout

Cause: a frozen daemon held up each round of samples for 3 s, so the time of the last packet in a withdrawn data centre was late by up to 3 s instead of 0.5 s. Ruled out: late runs (data_centre_run_quiet_s was 0.0).

--- a/sapphirelift/bench/fleet.py
+++ b/sapphirelift/bench/fleet.py
@@ -53,10 +53,10 @@
     raise TimeoutError(f"{condition} did not hold within {timeout_s} s")
 
 
-def get_json(port: int, path: str) -> Any:
+def get_json(port: int, path: str, *, timeout_s: float = 3.0) -> Any:
     """Reads JSON from a loopback port."""
     url = f"http://127.0.0.1:{port}{path}"
-    with urllib.request.urlopen(url, timeout=3) as answer:
+    with urllib.request.urlopen(url, timeout=timeout_s) as answer:
         return json.load(answer)
 
 
@@ -199,9 +199,10 @@
             [sys.executable, *arguments], stdout=log, stderr=log
         )
 
-    def dump(self, name: str) -> dict[str, Any]:
+    def dump(self, name: str, *, timeout_s: float = 3.0) -> dict[str, Any]:
         """Returns the state dump of a daemon."""
-        return get_json(self.admin_ports[name], "/dump")
+        port = self.admin_ports[name]
+        return get_json(port, "/dump", timeout_s=timeout_s)
 
     def runs(self, name: str) -> list[dict[str, Any]]:
         """Returns the runs that a backend server recorded."""
--- a/sapphirelift/bench/monitor.py
+++ b/sapphirelift/bench/monitor.py
@@ -14,6 +14,8 @@
 
 HEALTH_INTERVAL_S = 0.25
 SAMPLE_INTERVAL_S = 0.5
+# A frozen daemon must not hold up the samples of the others.
+DUMP_TIMEOUT_S = 0.4
 CONTROL_KINDS = ("HEARTBEAT", "HEARTBEAT_ACK", "LOAD")
 FLOW_KINDS = ("FORWARD", "OPEN_FORWARD")
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -135,7 +137,7 @@
 
     def _sample(self, name: str) -> Sample | None:
         try:
-            dump = self._fleet.dump(name)
+            dump = self._fleet.dump(name, timeout_s=DUMP_TIMEOUT_S)
             cpu_s, memory_kb = usage(self._fleet.processes[name].pid)
         except (OSError, ValueError, IndexError):
             return None
