--- a/sapphirelift/_node.py
+++ b/sapphirelift/_node.py
@@ -26,6 +26,11 @@
 
 DATA_CENTRES = "records/data_centre/"
 MEMBERS = "members/"
+CONTROL_KINDS = (
+    messages.Kind.HEARTBEAT,
+    messages.Kind.HEARTBEAT_ACK,
+    messages.Kind.LOAD,
+)
 
 
 class Node:
@@ -104,6 +109,9 @@
 
     def dump(self) -> dict[str, Any]:
         """Returns the state of the process, without secrets."""
+        sent_by_kind = _by_kind(
+            self.peer.sent_bytes_by_kind, self.control.sent_bytes_by_kind
+        )
         return {
             "name": self.settings.name,
             "role": self.settings.role,
@@ -116,7 +124,13 @@
                 "refused": self.rotation.refused,
             },
             "peer_bytes_sent": self.peer.bytes_sent,
-            "control_bytes_sent": self.control.bytes_sent,
+            "control_bytes_sent": sum(
+                sent_by_kind.get(kind.name, 0) for kind in CONTROL_KINDS
+            ),
+            "peer_sent_bytes_by_kind": sent_by_kind,
+            "peer_received_by_kind": _by_kind(
+                self.peer.received_by_kind, self.control.received_by_kind
+            ),
             "drops": self.drops,
             "membership": dict(self.members.counters),
             "members": {
@@ -138,7 +152,7 @@
 
     def _replace_control_socket(self) -> None:
         former, self.control = self.control, self._new_control_socket()
-        self.control.bytes_sent = former.bytes_sent
+        self.control.take_counts(former)
         self.control.start()
         former.stop()
         self._count_drop("control_socket_silent")
@@ -326,3 +340,9 @@
     def carry_out_own(self, action: actions.Action) -> None:
         """Carries out an action that only one role has."""
         raise NotImplementedError
+
+
+def _by_kind(*counts: list[int]) -> dict[str, int]:
+    """Returns the sums of counts by the name of the datagram kind."""
+    totals = [sum(pair) for pair in zip(*counts, strict=True)]
+    return {kind.name: totals[kind] for kind in messages.Kind if totals[kind]}
--- a/sapphirelift/bench/forwarding.py
+++ b/sapphirelift/bench/forwarding.py
@@ -1,214 +1,220 @@
-"""Forward path of a balancer against a bare eventlet datagram relay.
+"""Forwarding rate and memory of one balancer, beside a bare relay.
 
-``python -m sapphirelift.bench.forwarding [SECONDS] [ROUNDS]`` measures both
-in turn, each as a process of its own on the loopback interface, in one run.
-With ``profile`` as the only argument it profiles the balancer's decisions
-without sockets.
+``python -m sapphirelift.bench.forwarding relay LISTEN_PORT TARGET_PORT`` is
+the bare eventlet datagram relay, and ``... send PORT FILE SECONDS`` sends
+the datagrams of a file over and over; the measurement starts both.
 """
 
-import cProfile
-import json
-import pstats
-import socket as stdlib_socket
-import statistics
-import subprocess
+import pathlib
+import random
+import socket
 import sys
+import threading
 import time
+from typing import Any
 
 import eventlet
-from eventlet.green import socket
+import msgspec
+from eventlet.green import socket as green_socket
 
-from sapphirelift import _balancer_node
 from sapphirelift import messages
-from sapphirelift import settings as settings_module
 from sapphirelift import wire
-from sapphirelift.core import balancer
+from sapphirelift.bench import fleet as fleet_module
+from sapphirelift.bench import monitor
+from sapphirelift.bench import results
 from sapphirelift.core import keys
-from sapphirelift.core import membership
 from sapphirelift.core import token
 
-SENDERS = 2
-WARM_UP_S = 0.5
-PAYLOAD_BYTES = 256
-RECEIVE_BYTES = 65_536
-FLOW_KEY = b"f" * wire.FLOW_KEY_BYTES
-RING = keys.KeyRing(0, {0: b"k" * 32})
-START_TIMEOUT_S = 20.0
-
-
-def flow_datagram(owner: messages.Address) -> bytes:
-    """Returns a datagram of an established flow."""
-    sealed = token.seal(
-        token.Token(owner.ip, owner.port, 1, 2, 3, 4, 0), FLOW_KEY, RING
-    )
-    request = messages.Request(
-        1, 0, 1, 0, 1000, True, "POST", "/echo", b"x" * PAYLOAD_BYTES
-    )
-    return wire.encode_caller(
-        messages.Kind.REQUEST, FLOW_KEY, request, flow_token=sealed
-    )
-
-
-def serve_relay(target_port: int) -> None:
-    """Relays every datagram to a port, with nothing in between."""
-    incoming = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    outgoing = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    incoming.bind(("127.0.0.1", 0))
-    print(incoming.getsockname()[1], flush=True)
-    target = ("127.0.0.1", target_port)
-    while True:
-        data, _ = incoming.recvfrom(RECEIVE_BYTES)
-        outgoing.sendto(data, target)
-
-
-def _free_port() -> int:
-    """Returns a port that is free for UDP and TCP; a daemon needs both."""
-    while True:
-        with (
-            stdlib_socket.socket(type=stdlib_socket.SOCK_STREAM) as stream,
-            stdlib_socket.socket(type=stdlib_socket.SOCK_DGRAM) as datagrams,
-        ):
-            stream.bind(("127.0.0.1", 0))
-            try:
-                datagrams.bind(stream.getsockname())
-            except OSError:
-                continue
-            return stream.getsockname()[1]
-
-
-def serve_balancer() -> None:
-    """Serves a balancer whose platform is down; it forwards by token."""
-    free = settings_module.Endpoint("127.0.0.1", 0)
-    node = _balancer_node.BalancerNode(
-        settings_module.Settings(
-            name="balancer-1",
-            role="balancer",
-            data_centre="etela-a",
-            peer=settings_module.Endpoint("127.0.0.1", _free_port()),
-            public=free,
-            admin=free,
-            platform_url="http://127.0.0.1:9",
-            cluster_key_hex=RING.keys[0].hex(),
+NAME = "forwarding"
+SUMMARY = "one balancer at its highest rate, beside a bare datagram relay"
+FLOWS = 20_000
+SETTLE_S = 1.0
+_SOCKET_BYTES = 4 << 20
+_NOT_FORWARDED = (messages.Kind.HEARTBEAT, messages.Kind.HEARTBEAT_ACK)
+# A balancer that kept even a small entry per flow would need more.
+MEMORY_BYTES_PER_FLOW = 16.0
+BOUNDS = (
+    results.Bound("forwarding_ratio", ">=", 0.5),
+    results.Bound("memory_bytes_per_flow", "<=", MEMORY_BYTES_PER_FLOW),
+)
+
+
+class _Sink:
+    """A socket that stands for an agent and counts datagrams."""
+
+    def __init__(self) -> None:
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _SOCKET_BYTES
+        )
+        self.socket.bind(("127.0.0.1", 0))
+        self.address = messages.Address(*self.socket.getsockname())
+        self.count = 0
+        threading.Thread(target=self._receive, daemon=True).start()
+
+    def _receive(self) -> None:
+        buffer = bytearray(wire.MAX_DATAGRAM_BYTES)
+        while True:
+            size = self.socket.recv_into(buffer)
+            # Heartbeats of the balancer are no forwarded datagrams.
+            self.count += size > 0 and buffer[2] not in _NOT_FORWARDED
+
+
+def _datagrams(owner: messages.Address, rng: random.Random) -> list[bytes]:
+    """Returns one PING on each of many flows that ``owner`` owns."""
+    ring = keys.KeyRing(0, {0: bytes.fromhex(fleet_module.CLUSTER_KEY_HEX)})
+    found = []
+    for serial in range(FLOWS):
+        flow_key = rng.randbytes(wire.FLOW_KEY_BYTES)
+        sealed = token.seal(
+            token.Token(
+                owner_ip=owner.ip,
+                owner_port=owner.port,
+                incarnation=1,
+                service_id=keys.service_id("jasen-kauppa"),
+                data_centre_id=keys.data_centre_id("etela-a"),
+                serial=serial,
+                key_id=ring.current_id,
+            ),
+            flow_key,
+            ring,
         )
+        ping = messages.Ping(0)
+        found.append(
+            wire.encode_caller(
+                messages.Kind.PING, flow_key, ping, flow_token=sealed
+            )
+        )
+    return found
+
+
+def _rate(
+    fleet: fleet_module.Fleet,
+    sink: _Sink,
+    *,
+    name: str,
+    port: int,
+    duration_s: float,
+) -> float:
+    """Returns the datagrams per second that arrive at the sink."""
+    path = str(fleet.directory / "datagrams.json")
+    fleet.spawn(
+        name,
+        "-m",
+        "sapphirelift.bench.forwarding",
+        "send",
+        str(port),
+        path,
+        str(duration_s + 2 * SETTLE_S),
     )
-    node.start()
-    print(node.public.address.port, flush=True)
-    while True:
-        eventlet.sleep(60)
+    time.sleep(2 * SETTLE_S)
+    count, begin_s = sink.count, time.monotonic()
+    time.sleep(duration_s - SETTLE_S)
+    rate = (sink.count - count) / (time.monotonic() - begin_s)
+    fleet.wait_exit(name)
+    return rate
+
+
+def run(
+    directory: pathlib.Path, *, seed: int, duration_s: float
+) -> dict[str, Any]:
+    """Measures and returns the result as it is saved.
+
+    Args:
+        directory: Place for logs and datagrams.
+        seed: Seed of the flow keys.
+        duration_s: Sending time of each of the two measurements.
+    """
+    fleet = fleet_module.Fleet(directory)
+    try:
+        return _run(fleet, seed, duration_s)
+    finally:
+        fleet.close()
 
 
-def send_forever(port: int, data: bytes) -> None:
-    """Sends a datagram as often as the kernel takes it."""
-    source = stdlib_socket.socket(
-        stdlib_socket.AF_INET, stdlib_socket.SOCK_DGRAM
+def _run(
+    fleet: fleet_module.Fleet, seed: int, duration_s: float
+) -> dict[str, Any]:
+    sink = _Sink()
+    datagrams = _datagrams(sink.address, random.Random(seed))
+    (fleet.directory / "datagrams.json").write_bytes(
+        msgspec.json.encode(datagrams)
     )
-    source.connect(("127.0.0.1", port))
-    while True:
-        try:
-            source.send(data)
-        except ConnectionRefusedError:
-            return
-
-
-def _start(*arguments: str) -> "subprocess.Popen[str]":
-    return subprocess.Popen(
-        [sys.executable, "-W", "ignore", "-m", __spec__.name, *arguments],
-        stdout=subprocess.PIPE,
-        text=True,
+    fleet.start_platform()
+    fleet.start_balancer("balancer-1")
+    fleet_module.wait_until(lambda: fleet.dump("balancer-1")["revision"] > 0)
+    pid = fleet.processes["balancer-1"].pid
+    _, memory_kb = monitor.usage(pid)
+    balancer = _rate(
+        fleet,
+        sink,
+        name="send-1",
+        port=fleet.public["balancer-1"].port,
+        duration_s=duration_s,
     )
-
-
-def measure(mode: str, seconds: float) -> float:
-    """Returns the datagrams a second that a relay or balancer passes on.
-
-    More is sent than it can take, so that neither the senders nor a window
-    set the rate.
-    """
-    sink = stdlib_socket.socket(stdlib_socket.AF_INET, stdlib_socket.SOCK_DGRAM)
-    sink.setsockopt(stdlib_socket.SOL_SOCKET, stdlib_socket.SO_RCVBUF, 4 << 20)
-    sink.bind(("127.0.0.1", 0))
-    sink.settimeout(START_TIMEOUT_S)
-    address = messages.Address(*sink.getsockname())
-    processes = [_start(mode, str(address.port))]
-    try:
-        assert processes[0].stdout is not None
-        port = processes[0].stdout.readline().strip()
-        data = flow_datagram(address).hex()
-        processes += [_start("send", port, data) for _ in range(SENDERS)]
-        sink.recv(RECEIVE_BYTES)
-        _count(sink, WARM_UP_S)
-        return _count(sink, seconds)
-    finally:
-        for process in processes:
-            process.kill()
-            process.wait()
-
-
-def _count(sink: stdlib_socket.socket, seconds: float) -> float:
-    """Returns the datagrams a second that arrive."""
-    received = 0
-    start_s = time.perf_counter()
-    while (elapsed_s := time.perf_counter() - start_s) < seconds:
-        for _ in range(100):
-            sink.recv(RECEIVE_BYTES)
-        received += 100
-    return received / elapsed_s
-
-
-def compare(seconds: float, rounds: int) -> dict[str, float]:
-    """Measures relay and balancer in turn; returns medians and their ratio."""
-    rates: dict[str, list[float]] = {"relay": [], "balancer": []}
-    for _ in range(rounds):
-        for mode, measured in rates.items():
-            measured.append(measure(mode, seconds))
-    relay = statistics.median(rates["relay"])
-    forwarding = statistics.median(rates["balancer"])
-    return {
+    _, loaded_kb = monitor.usage(pid)
+    port = fleet_module.free_port()
+    fleet.spawn(
+        "relay",
+        "-m",
+        "sapphirelift.bench.forwarding",
+        "relay",
+        str(port),
+        str(sink.address.port),
+    )
+    time.sleep(SETTLE_S)
+    relay = _rate(fleet, sink, name="send-2", port=port, duration_s=duration_s)
+    figures: dict[str, Any] = {
+        "forwarded_per_s": round(balancer),
         "relay_per_s": round(relay),
-        "balancer_per_s": round(forwarding),
-        "balancer_over_relay": round(forwarding / relay, 3),
+        "forwarding_ratio": round(balancer / relay, 3) if relay else None,
+        "flows": FLOWS,
+        "memory_bytes_per_flow": round((loaded_kb - memory_kb) * 1024 / FLOWS),
+    }
+    return {
+        "figures": figures,
+        "bounds": [bound.check(figures) for bound in BOUNDS],
     }
 
 
-def profile() -> None:
-    """Profiles the decisions on 100,000 datagrams of one flow."""
-    core = balancer.BalancerCore(
-        address=messages.Address("127.0.0.1", 1),
-        members=membership.Membership(),
-        ring=RING,
-    )
-    data = flow_datagram(messages.Address("127.0.0.1", 9))
-    caller = ("127.0.0.1", 5000)
-    profiler = cProfile.Profile()
-    start_s = time.perf_counter()
-    for _ in range(100_000):
-        core.forward(data, caller)
-    elapsed_s = time.perf_counter() - start_s
-    print(f"{elapsed_s * 10:.2f} us per datagram without the profiler")
-    profiler.enable()
-    for _ in range(100_000):
-        core.forward(data, caller)
-    profiler.disable()
-    pstats.Stats(profiler).sort_stats("tottime").print_stats(15)
-
-
-def main() -> None:
-    """Entry point."""
-    match sys.argv[1:]:
-        case ["relay", port]:
-            serve_relay(int(port))
-        case ["balancer", _]:
+def _relay(listen_port: int, target_port: int) -> None:
+    """Passes datagrams on, and does nothing else."""
+    source = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    source.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SOCKET_BYTES)
+    source.bind(("127.0.0.1", listen_port))
+    onward = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    target = ("127.0.0.1", target_port)
+    while True:
+        data, _ = source.recvfrom(wire.MAX_DATAGRAM_BYTES + 1)
+        onward.sendto(data, target)
+
+
+def _send(port: int, path: str, duration_s: float) -> None:
+    text = pathlib.Path(path).read_bytes()
+    datagrams = msgspec.json.decode(text, type=list[bytes])
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    target = ("127.0.0.1", port)
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        for start in range(0, len(datagrams), 200):
+            for data in datagrams[start : start + 200]:
+                sender.sendto(data, target)
+            if time.monotonic() >= end_s:
+                return
+
+
+def main(arguments: list[str]) -> None:
+    """Runs the relay or the sender."""
+    match arguments:
+        case ["relay", listen_port, target_port]:
             eventlet.monkey_patch(thread=False)
-            serve_balancer()
-        case ["send", port, data]:
-            send_forever(int(port), bytes.fromhex(data))
-        case ["profile"]:
-            profile()
-        case arguments:
-            seconds = float(arguments[0]) if arguments else 2.0
-            rounds = int(arguments[1]) if len(arguments) > 1 else 3
-            print(json.dumps(compare(seconds, rounds)))
+            _relay(int(listen_port), int(target_port))
+        case ["send", port, path, duration_s]:
+            _send(int(port), path, float(duration_s))
+        case _:
+            print(__doc__, file=sys.stderr)
+            sys.exit(2)
 
 
 if __name__ == "__main__":
-    main()
+    main(sys.argv[1:])
--- a/sapphirelift/daemon.py
+++ b/sapphirelift/daemon.py
@@ -27,8 +27,15 @@
 
 
 def run(settings: settings_module.Settings) -> None:
-    """Runs one daemon until SIGTERM or SIGINT, then stops it by plan."""
-    node = build(settings)
+    """Runs one daemon until SIGTERM or SIGINT, then stops it by plan.
+
+    Raises:
+        BindError: An address of the settings cannot be bound.
+    """
+    try:
+        node = build(settings)
+    except OSError as error:
+        raise errors.BindError(str(error)) from error
     stopping: eventlet.event.Event = eventlet.event.Event()
 
     def on_signal(signum: int, frame: object) -> None:
@@ -61,7 +68,11 @@
         print(f"sapphireliftd: {error}", file=sys.stderr)
         sys.exit(USAGE_STATUS)
     eliot.to_file(sys.stderr)
-    run(settings)
+    try:
+        run(settings)
+    except errors.BindError as error:
+        print(f"sapphireliftd: {error}", file=sys.stderr)
+        sys.exit(USAGE_STATUS)
     # Threads of grpc and tpool hold nothing that must be saved.
     sys.stdout.flush()
     sys.exit(0)
--- a/sapphirelift/errors.py
+++ b/sapphirelift/errors.py
@@ -17,6 +17,17 @@
     """A settings file cannot be used."""
 
 
+class BindError(SapphireliftError):
+    """An address of the settings cannot be bound."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(
+            f"cannot bind an address: {message}",
+            remedy="see that `peer`, `public` and `admin` are free addresses "
+            "of this instance",
+        )
+
+
 class InputError(SapphireliftError):
     """A command got an argument or a file that it cannot use."""
 
--- a/sapphirelift/peers/endpoint.py
+++ b/sapphirelift/peers/endpoint.py
@@ -11,6 +11,7 @@
 from sapphirelift import wire
 
 _BUFFER_BYTES = 4 << 20
+_KIND_OFFSET = 2
 
 # Datagrams handled before other tasks get their turn.
 BATCH_DATAGRAMS = 64
@@ -19,7 +20,13 @@
 
 
 class Endpoint:
-    """A bound UDP socket whose task passes each datagram to a handler."""
+    """A bound UDP socket whose task passes each datagram to a handler.
+
+    Attributes:
+        bytes_sent: Bytes sent, all kinds together.
+        sent_bytes_by_kind: Bytes sent, indexed by datagram kind.
+        received_by_kind: Datagrams received, indexed by datagram kind.
+    """
 
     def __init__(self, address: messages.Address, handler: Handler) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -35,6 +42,8 @@
         self._task: eventlet.greenthread.GreenThread | None = None
         self.bytes_sent = 0
         self.datagrams_received = 0
+        self.sent_bytes_by_kind = [0] * 256
+        self.received_by_kind = [0] * 256
 
     def start(self) -> None:
         """Starts to receive."""
@@ -46,6 +55,13 @@
             self._task.kill()
         self._socket.close()
 
+    def take_counts(self, former: "Endpoint") -> None:
+        """Goes on counting where the socket that this one replaces ended."""
+        self.bytes_sent = former.bytes_sent
+        self.datagrams_received = former.datagrams_received
+        self.sent_bytes_by_kind = former.sent_bytes_by_kind
+        self.received_by_kind = former.received_by_kind
+
     def send(self, data: bytes, address: tuple[str, int]) -> None:
         """Sends a datagram; a datagram that cannot be sent is lost."""
         try:
@@ -54,6 +70,7 @@
             except BlockingIOError:
                 self._socket.sendto(data, address)
             self.bytes_sent += len(data)
+            self.sent_bytes_by_kind[data[_KIND_OFFSET]] += len(data)
         except (OSError, OverflowError):
             return
 
@@ -69,6 +86,8 @@
                 except ConnectionError:
                     continue
                 self.datagrams_received += 1
+                if len(data) > _KIND_OFFSET:
+                    self.received_by_kind[data[_KIND_OFFSET]] += 1
                 handler(data, address)
             else:
                 eventlet.sleep(0)
--- a/sapphirelift/peers/records.py
+++ b/sapphirelift/peers/records.py
@@ -99,7 +99,10 @@
                 ),
             )
         )
-        self._server.add_insecure_port(self._target)
+        try:
+            self._server.add_insecure_port(self._target)
+        except RuntimeError as error:
+            raise errors.BindError(f"TCP {self._target}") from error
 
     def start(self) -> None:
         """Starts to serve."""
--- a/sapphirelift/standins/backend_server.py
+++ b/sapphirelift/standins/backend_server.py
@@ -273,14 +273,12 @@
         connection.close()
 
 
-def serve(options: BackendOptions) -> None:
-    """Serves the stand-in on a loopback port."""
-    backend = Backend(options)
+def accept_forever(backend: Backend, listener: Any) -> None:
+    """Serves a backend server on a listening socket."""
     handler = type("Handler", (_Handler,), {"backend": backend})
-    listener = eventlet.listen(("127.0.0.1", options.port), backlog=1024)
     while True:
         connection, address = listener.accept()
-        full = len(backend.connections) >= options.max_connections
+        full = len(backend.connections) >= backend.options.max_connections
         if backend.is_down or full:
             backend.counters["connections_closed"] += 1
             connection.close()
@@ -288,5 +286,11 @@
             eventlet.spawn_n(_serve_connection, handler, connection, address)
 
 
+def serve(options: BackendOptions) -> None:
+    """Serves the stand-in on a loopback port."""
+    listener = eventlet.listen(("127.0.0.1", options.port), backlog=1024)
+    accept_forever(Backend(options), listener)
+
+
 if __name__ == "__main__":
     serve(msgspec.json.decode(sys.argv[1], type=BackendOptions))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import socket
 import subprocess
 import sys
 from typing import Any
@@ -71,3 +72,22 @@
         assert done.returncode == 2
         assert done.stderr.count("\n") == 1
         assert "colour" in done.stderr
+
+    def test_address_in_use(self, tmp_path: pathlib.Path) -> None:
+        """Guards against a traceback when a port is taken."""
+        path = tmp_path / "settings.json"
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            peer = {"ip": "127.0.0.1", "port": taken.getsockname()[1]}
+            path.write_text(json.dumps(VALID | {"peer": peer}))
+            done = subprocess.run(
+                [sys.executable, "-m", "sapphirelift.daemon"]
+                + ["--settings", str(path)],
+                capture_output=True,
+                text=True,
+                timeout=30,
+            )
+        assert done.returncode == 2
+        assert "Traceback" not in done.stderr
+        assert "cannot bind" in done.stderr
