Repeat a lost CLOSE and give up dead callers while draining

Cause: CLOSE was sent once, and a draining agent kept a flow whose caller had gone until the idle timeout of 60 s, so a planned stop could last until its timeout of 30 s. A caller now answers a MOVE for a flow that it does not hold with CLOSE, and a draining agent gives up a flow after 5 s of silence; callers ping at least each second.

--- a/sapphirelift/core/agent.py
+++ b/sapphirelift/core/agent.py
@@ -380,8 +380,11 @@
             self._sweep(now_ms)
 
     def _sweep(self, now_ms: int) -> None:
+        timeout_ms = self.limits.flow_idle_timeout_ms
+        if self.state != membership.UP:
+            timeout_ms = min(timeout_ms, self.limits.drain_silence_ms)
         for flow in list(self.flows.values()):
-            if now_ms - flow.heard_ms > self.limits.flow_idle_timeout_ms:
+            if now_ms - flow.heard_ms > timeout_ms:
                 self._close(flow, now_ms)
                 self.counters["flows_expired"] += 1
                 continue
--- a/sapphirelift/core/caller.py
+++ b/sapphirelift/core/caller.py
@@ -319,8 +319,11 @@
     # Datagrams.
 
     def _on_foreign(self, datagram: wire.CallerDatagram) -> None:
-        """Closes a flow that was accepted for a caller that left it."""
-        if datagram.kind == _Kind.ACCEPT:
+        """Closes a flow at its owner that this caller does not hold any more.
+
+        A CLOSE may be lost, and a draining agent waits for it.
+        """
+        if datagram.kind in (_Kind.ACCEPT, _Kind.MOVE):
             self._out.append(
                 SendDatagram(
                     wire.encode_caller(
@@ -351,6 +354,8 @@
                 self._on_response(flow, datagram.body, now_ms)
             case _Kind.PONG:
                 pass
+            case _Kind.MOVE if flow.closing_ms is not None:
+                self._on_foreign(datagram)
             case _Kind.MOVE:
                 self._on_move(flow, now_ms)
             case _Kind.RESET:
--- a/sapphirelift/core/limits.py
+++ b/sapphirelift/core/limits.py
@@ -13,6 +13,8 @@
             flow may use a quarter.
         assembly_timeout_ms: Time without a new fragment after which an
             incomplete request expires.
+        drain_silence_ms: Time without a packet after which a draining agent
+            gives up a flow; callers ping at least each second.
     """
 
     slots: int = 4
@@ -28,5 +30,6 @@
     initial_share: float = 1.0
     ramp_ms: int = 0
     flow_idle_timeout_ms: int = 60_000
+    drain_silence_ms: int = 5000
     move_within_ms: int = 10_000
     move_repeat_ms: int = 500
