--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -84,7 +84,7 @@
                 or self.core.requests.running
                 or self.core.balance.pending
                 or self.core.hand_on.flows
-                or self.core.hand_on.running
+                or self.core.hand_on.runs.running
             ):
                 eventlet.sleep(TICK_S)
             eventlet.sleep(FINAL_RESPONSES_S)
--- a/sapphirelift/core/agent.py
+++ b/sapphirelift/core/agent.py
@@ -157,7 +157,7 @@
                     self._on_peer_datagram(event, now_ms)
                 case RunFinished(run_id, outcome, shed, failed):
                     # Runs of plain datagrams have negative numbers.
-                    owner = self.requests if run_id > 0 else self.hand_on
+                    owner = self.requests if run_id > 0 else self.hand_on.runs
                     owner.on_run_finished(
                         run_id,
                         outcome,
@@ -178,7 +178,7 @@
         except errors.DatagramError as error:
             self.counters[f"dropped_{error.reason}"] += 1
         self.requests.start_runs(now_ms)
-        self.hand_on.start_runs(now_ms)
+        self.hand_on.runs.start(now_ms)
         self.balance.observe(now_ms)
         return self._out.take()
 
--- a/sapphirelift/core/generations.py
+++ b/sapphirelift/core/generations.py
@@ -14,6 +14,7 @@
 from sapphirelift.core import hand_on
 from sapphirelift.core import keys
 from sapphirelift.core import membership
+from sapphirelift.core import plain_runs
 from sapphirelift.core import routing
 
 CANDIDATES = 3
@@ -119,7 +120,7 @@
         Raises:
             DatagramError: The datagram is too large, or no agent is up.
         """
-        if len(payload) > hand_on.MAX_PAYLOAD_BYTES:
+        if len(payload) > plain_runs.MAX_PAYLOAD_BYTES:
             raise errors.DatagramError("oversized")
         if self._version != self._members.version:
             self._version = self._members.version
--- a/sapphirelift/core/hand_on.py
+++ b/sapphirelift/core/hand_on.py
@@ -11,11 +11,10 @@
 from sapphirelift import errors
 from sapphirelift import messages
 from sapphirelift import wire
-from sapphirelift.core import actions
 from sapphirelift.core import admission as admission_module
 from sapphirelift.core import membership
 from sapphirelift.core import outbox
-from sapphirelift.core import outcomes
+from sapphirelift.core import plain_runs
 
 _Kind = messages.Kind
 
@@ -24,7 +23,6 @@
 MAX_REDIRECTS = 20_000
 MAX_PENDING = 4096
 MAX_PENDING_DATAGRAMS = 8
-MAX_QUEUED_RUNS = 256
 MAX_HOPS = 2
 ASK_REPEAT_MS = 100
 # A former first candidate that has not answered by then is taken for dead.
@@ -34,19 +32,6 @@
 # The owner confirms every half second; silence means that it has ended.
 CONFIRM_TIMEOUT_MS = membership.SUSPECT_AFTER_MS
 SWEEP_MS = 1000
-RUN_DEADLINE_MS = 5000
-# The envelope adds the service name and up to seven addresses.
-MAX_PAYLOAD_BYTES = 3500
-PATH = "/datagram"
-
-
-@dataclasses.dataclass(slots=True)
-class _Owned:
-    caller: messages.Address
-    balancer: messages.Address
-    heard_ms: int
-    forwarder: messages.Address | None = None
-    confirmed_ms: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,9 +68,10 @@
 
 
 class HandOn:
-    """Ownership, redirects and runs of plain datagrams at one agent.
+    """Ownership and redirects of plain datagrams at one agent.
 
     Attributes:
+        runs: Runs of the datagrams of flows that are owned here.
         state: State of the agent; only one that is up takes new flows.
         withdrawn: Whether the agent's data centre is out.
     """
@@ -104,16 +90,17 @@
         self._address = address
         self._service = service
         self._out = out
-        self._admission = admission
         self._counters = counters
-        self._owned: dict[bytes, _Owned] = {}
+        self._owned: dict[bytes, plain_runs.OwnedFlow] = {}
         self._redirects: dict[bytes, _Redirect] = {}
         self._pending: dict[bytes, _Pending] = {}
-        self._queue: collections.deque[tuple[bytes, bytes]] = (
-            collections.deque()
+        self.runs = plain_runs.PlainRuns(
+            service=service,
+            find_flow=self._owned.get,
+            out=out,
+            admission=admission,
+            counters=counters,
         )
-        self._runs: dict[int, tuple[bytes, int]] = {}
-        self._last_run_id = 0
         self._last_ask_id = 0
         self._sweep_ms = 0
 
@@ -122,11 +109,6 @@
         """Number of flows owned."""
         return len(self._owned)
 
-    @property
-    def running(self) -> int:
-        """Number of datagrams that run on the backend server."""
-        return len(self._runs)
-
     def owns(self, flow_key: bytes) -> bool:
         """Tells whether this agent owns a flow."""
         return flow_key in self._owned
@@ -198,7 +180,7 @@
         return (
             self.state == membership.UP
             and len(self._owned) < MAX_OWNED
-            and len(self._queue) < MAX_QUEUED_RUNS
+            and not self.runs.is_full
         )
 
     def _take(
@@ -207,7 +189,7 @@
         """Takes a flow over, or passes it to where it may go next."""
         if self._may_take():
             self._redirects.pop(plain.flow_key, None)
-            self._owned[plain.flow_key] = _Owned(
+            self._owned[plain.flow_key] = plain_runs.OwnedFlow(
                 plain.caller, plain.balancer, now_ms
             )
             self._counters["plain_flows_taken"] += 1
@@ -229,13 +211,11 @@
         owned.heard_ms = now_ms
         if plain.hops > 0:
             self._confirm(owned, plain, sender, now_ms)
-        if len(self._queue) >= MAX_QUEUED_RUNS:
-            raise errors.DatagramError("overloaded")
-        self._queue.append((plain.flow_key, plain.payload))
+        self.runs.add(plain.flow_key, plain.payload)
 
     def _confirm(
         self,
-        owned: _Owned,
+        owned: plain_runs.OwnedFlow,
         plain: messages.Plain,
         sender: messages.Address,
         now_ms: int,
@@ -404,61 +384,6 @@
             except errors.DatagramError as error:
                 self._counters[f"dropped_{error.reason}"] += 1
 
-    # Running.
-
-    def start_runs(self, now_ms: int) -> None:
-        """Starts waiting datagrams while admission allows it."""
-        while self._queue and self._admission.may_start(now_ms):
-            key, payload = self._queue.popleft()
-            owned = self._owned.get(key)
-            if owned is None:
-                continue
-            self._last_run_id -= 1
-            self._runs[self._last_run_id] = (key, now_ms)
-            self._admission.started(now_ms)
-            caller = f"{owned.caller.ip}:{owned.caller.port}"
-            self._out.add(
-                actions.StartRun(
-                    run_id=self._last_run_id,
-                    request_id=-self._last_run_id,
-                    caller=caller,
-                    method="POST",
-                    path=PATH,
-                    body=payload,
-                    deadline_ms=RUN_DEADLINE_MS,
-                )
-            )
-
-    def on_run_finished(
-        self,
-        run_id: int,
-        outcome: outcomes.Outcome,
-        *,
-        shed: bool,
-        failed: bool,
-        now_ms: int,
-    ) -> None:
-        """Sends the answer of a run to the caller. No run is repeated."""
-        run = self._runs.pop(run_id, None)
-        if run is None:
-            return
-        key, started_ms = run
-        self._admission.finished(
-            now_ms, duration_ms=now_ms - started_ms, shed=shed, failed=failed
-        )
-        self._counters[f"plain_runs_{type(outcome).__name__.lower()}"] += 1
-        owned = self._owned.get(key)
-        if owned is None or not isinstance(outcome, outcomes.Answered):
-            return
-        if not 200 <= outcome.status < 300 or outcome.status == 204:
-            return
-        if len(outcome.body) > MAX_PAYLOAD_BYTES:
-            self._counters["dropped_answer_too_large"] += 1
-            return
-        reply = messages.PlainReply(self._service, owned.caller, outcome.body)
-        balancer = self._out.return_path(owned.balancer, key)
-        self._send(balancer, _Kind.PLAIN_REPLY, reply)
-
     # Time and changes of state.
 
     def tick(self, now_ms: int) -> None:
@@ -487,7 +412,7 @@
             self.release()
             self._redirects.clear()
             self._pending.clear()
-            self._queue.clear()
+            self.runs.clear()
 
     def release(self) -> None:
         """Tells the agents that send datagrams here that the owner ends."""
--- a/tests/test_hand_on.py
+++ b/tests/test_hand_on.py
@@ -129,12 +129,12 @@
 
     def collect(self, agent: Agent) -> None:
         """Runs what an agent starts and sends what it sends."""
-        agent.core.start_runs(self.now_ms)
+        agent.core.runs.start(self.now_ms)
         for action in agent.out.take():
             match action:
                 case actions.StartRun(run_id=run_id, body=body):
                     self.runs[body] += 1
-                    agent.core.on_run_finished(
+                    agent.core.runs.on_run_finished(
                         run_id,
                         outcomes.Answered(204, b""),
                         shed=False,
