Bring the records into force through the record set

The node read only `withdrawn` from raw records. It now keeps the last valid version of each record: withdrawn data centres, drained backend servers, ports and effective limits. A refused record is a condition of the status. Agents take limits as a NewLimits event and come back from a drain as a new incarnation (Resume event). One parser serves both users of the keyring.

The plain-flow test wrote a record with fields of version 2 as version 1 and without a branch, which was never valid; it now writes a valid one. The keyring tests wrote records without kind, which would be refused for that reason alone now; they have the head, and a valid record passes beside them.

--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -17,6 +17,7 @@
 from sapphirelift.core import agent
 from sapphirelift.core import limits
 from sapphirelift.core import membership
+from sapphirelift.core import record_set
 
 TICK_S = 0.02
 # A restart that takes less time than this goes unnoticed while idle.
@@ -31,6 +32,20 @@
         super().__init__(settings)
         assert settings.backend is not None
         backend = settings.backend
+        self._settings_limits = limits.AgentLimits(
+            slots=backend.slots,
+            max_flows=backend.max_flows,
+            initial_share=backend.initial_share,
+            ramp_ms=backend.ramp_ms,
+            caller_slot_share=backend.caller_slot_share,
+            queue_requests=backend.queue_requests,
+            reply_cache_bytes=backend.reply_cache_bytes,
+            reply_cache_ttl_ms=backend.reply_cache_ttl_ms,
+            assembly_bytes=backend.assembly_bytes,
+        )
+        self._limits = self._settings_limits
+        self._sources: dict[str, str] = {}
+        self._stopping = False
         self.core = agent.AgentCore(
             agent.AgentIdentity(
                 name=settings.name,
@@ -39,17 +54,7 @@
                 service=backend.service,
                 data_centre=settings.data_centre,
             ),
-            limits=limits.AgentLimits(
-                slots=backend.slots,
-                max_flows=backend.max_flows,
-                initial_share=backend.initial_share,
-                ramp_ms=backend.ramp_ms,
-                caller_slot_share=backend.caller_slot_share,
-                queue_requests=backend.queue_requests,
-                reply_cache_bytes=backend.reply_cache_bytes,
-                reply_cache_ttl_ms=backend.reply_cache_ttl_ms,
-                assembly_bytes=backend.assembly_bytes,
-            ),
+            limits=self._settings_limits,
             ring=self.ring,
             members=self.members,
             rng=self.rng,
@@ -75,6 +80,7 @@
 
     def stop(self) -> None:
         """Stops by plan: finishes requests and moves all flows away."""
+        self._stopping = True
         self.announce_state(membership.DRAINING)
         self._events.put(agent.Drain())
         with eventlet.Timeout(self.settings.stop_timeout_ms / 1000, False):
@@ -91,10 +97,41 @@
         self._events.put(agent.Release())
         eventlet.sleep(TICK_S)
 
-    def set_withdrawn(self, data_centres: set[str]) -> None:
-        """Sets the data centres that operators have taken out."""
-        out = self.settings.data_centre in data_centres
+    def on_records(self, records: record_set.RecordSet) -> None:
+        """Brings the records in force to the core."""
+        out = self.settings.data_centre in records.withdrawn()
         self._events.put(agent.Withdraw(out))
+        found = records.effective(self.service, self.settings.data_centre)
+        self._sources = {
+            field: "settings" if source == "default" else source
+            for field, source in found.source.items()
+        }
+        wanted = limits.with_records(
+            self._settings_limits, found.values, found.source
+        )
+        if wanted != self._limits:
+            self._limits = wanted
+            self._events.put(agent.NewLimits(wanted))
+            eliot.log_message("limits_in_force", **wanted._asdict())
+        self._set_drained(self.settings.name in records.drained())
+
+    def _set_drained(self, drained: bool) -> None:
+        """Drains on an operator's order, or takes work again after one.
+
+        A state never goes back to up within one incarnation, so the agent
+        comes back with a new one.
+        """
+        if self._stopping or drained == (self.state != membership.UP):
+            return
+        if drained:
+            self._events.put(agent.Drain())
+            self.announce_state(membership.DRAINING)
+            return
+        # The wall clock may have been set back since the last one.
+        self.incarnation = max(clock.new_incarnation(), self.incarnation + 1)
+        self.heartbeats.renew(self.incarnation)
+        self._events.put(agent.Resume(self.incarnation))
+        self.announce_state(membership.UP)
 
     def dump(self) -> dict[str, Any]:
         """Returns the state of the process, without secrets."""
@@ -107,6 +144,9 @@
             "queued": self.core.requests.queued,
             "utilisation": self.core.balance.utilisation(clock.now_ms()),
             "withdrawn": self.core.withdrawn,
+            "limits": self.core.limits._asdict(),
+            "limit_sources": self._sources,
+            "cold": self.core.requests.admission.is_cold(clock.now_ms()),
             "admission_limit": self.core.requests.admission.limit(
                 clock.now_ms()
             ),
--- a/sapphirelift/_balancer_node.py
+++ b/sapphirelift/_balancer_node.py
@@ -18,6 +18,7 @@
 from sapphirelift.core import actions
 from sapphirelift.core import balancer
 from sapphirelift.core import membership
+from sapphirelift.core import record_set
 from sapphirelift.core import replica
 from sapphirelift.core import routing
 from sapphirelift.core import status
@@ -110,7 +111,7 @@
         self._update_plain_ports()
 
     def _update_plain_ports(self) -> None:
-        wanted = plain_ports.wanted_ports(self.replica)
+        wanted, _ = self.records.ports()
         self.plain_ports.update(wanted)
         self.core.plain.tick(set(wanted), clock.now_ms())
 
@@ -132,9 +133,10 @@
                 seen = self.core.packets
                 eventlet.sleep(QUIET_S)
 
-    def set_withdrawn(self, data_centres: set[str]) -> None:
-        """Sets the data centres that operators have taken out."""
-        self.core.set_withdrawn(data_centres)
+    def on_records(self, records: record_set.RecordSet) -> None:
+        """Brings the records in force to the core."""
+        self.core.set_withdrawn(records.withdrawn())
+        self.core.set_drained(records.drained())
 
     def _beat(self) -> None:
         super()._beat()
@@ -183,6 +185,12 @@
             yield status.Condition(
                 "data_centre_withdrawn", data_centre, "withdrawn by its record"
             )
+        for key, reason in self.records.refused.items():
+            yield status.Condition("record_refused", key, reason)
+        for agent in self.core.drained:
+            yield status.Condition(
+                "backend_server_drained", agent, "drained by its record"
+            )
         if self.sync.watch_silent:
             yield status.Condition(
                 "platform_watch_silent", name, "no answer to the last watch"
--- a/sapphirelift/_node.py
+++ b/sapphirelift/_node.py
@@ -20,11 +20,11 @@
 from sapphirelift.core import keyring
 from sapphirelift.core import keys
 from sapphirelift.core import membership
+from sapphirelift.core import record_set
 from sapphirelift.core import replica
 from sapphirelift.operators import admin
 from sapphirelift.peers import endpoint
 
-DATA_CENTRES = "records/data_centre/"
 MEMBERS = "members/"
 CONTROL_KINDS = (
     messages.Kind.HEARTBEAT,
@@ -53,6 +53,7 @@
             rng=self.rng,
         )
         self.replica = self.sync.replica
+        self.records = record_set.RecordSet()
         self.members = membership.Membership(
             own_name=settings.name, repairs=settings.role == "balancer"
         )
@@ -132,6 +133,9 @@
                 self.peer.received_by_kind, self.control.received_by_kind
             ),
             "drops": self.drops,
+            "refused_records": dict(self.records.refused),
+            "drained": sorted(self.records.drained()),
+            "record_set": dict(self.records.counters),
             "membership": dict(self.members.counters),
             "members": {
                 m.name: {
@@ -178,17 +182,21 @@
         for change in changes:
             if change.key.startswith(MEMBERS):
                 self._apply_member(change)
-            elif change.key == keyring.KEY:
-                self.rotation.apply(change)
-        out = {
-            item.key.removeprefix(DATA_CENTRES)
-            for item in self.replica.items(DATA_CENTRES)
-            if item.value is not None and item.value.get("withdrawn")
-        }
-        self.set_withdrawn(out)
-
-    def set_withdrawn(self, data_centres: set[str]) -> None:
-        """Sets the data centres that operators have taken out."""
+            elif change.key.startswith(record_set.PREFIX):
+                self._apply_record(change)
+        self.on_records(self.records)
+
+    def _apply_record(self, change: replica.StoredObject) -> None:
+        reason = self.records.refused.get(change.key)
+        self.records.apply(change)
+        refused = self.records.refused.get(change.key)
+        if refused is not None and refused != reason:
+            eliot.log_message("record_refused", key=change.key, reason=refused)
+        if change.key == keyring.KEY:
+            self.rotation.apply(change)
+
+    def on_records(self, records: record_set.RecordSet) -> None:
+        """Brings the records in force to the core."""
         raise NotImplementedError
 
     def _apply_member(self, change: replica.StoredObject) -> None:
--- a/sapphirelift/callers/plain_ports.py
+++ b/sapphirelift/callers/plain_ports.py
@@ -6,26 +6,11 @@
 import eliot
 
 from sapphirelift import messages
-from sapphirelift.core import replica
 from sapphirelift.peers import endpoint
 
-SERVICES = "records/service/"
-HAND_ON = "hand_on"
-
 Handler = Callable[[str, bytes, tuple[str, int]], None]
 
 
-def wanted_ports(held: replica.Replica) -> dict[str, int]:
-    """Returns the datagram ports of services with routing ``hand_on``."""
-    ports = {}
-    for item in held.items(SERVICES):
-        value = item.value or {}
-        port = value.get("datagram_port")
-        if value.get("routing") == HAND_ON and isinstance(port, int):
-            ports[item.key.removeprefix(SERVICES)] = port
-    return ports
-
-
 class PlainPorts:
     """Opens and closes the datagram ports as records come into force."""
 
--- a/sapphirelift/core/admission.py
+++ b/sapphirelift/core/admission.py
@@ -42,7 +42,9 @@
         self._initial_share = initial_share
         self._ramp_ms = ramp_ms
         self._adaptive = float(slots)
-        self._ramping = ramp_ms > 0
+        # Kept without a ramp too, for a ramp that a record sets before the
+        # first answer.
+        self._ramping = True
         self._ramp_began_ms: int | None = None
         self._durations: collections.deque[int] = collections.deque(
             maxlen=LONG_RUN_SAMPLES
@@ -56,6 +58,15 @@
         self.busy = 0
         self.cold_restarts = 0
 
+    def set_ramp(self, *, initial_share: float, ramp_ms: int) -> None:
+        """Changes the ramp; one that is running goes on from its start."""
+        self._initial_share = initial_share
+        self._ramp_ms = ramp_ms
+
+    def is_cold(self, now_ms: int) -> bool:
+        """Tells whether the ramp still limits the backend server."""
+        return self._share(now_ms) < 1.0
+
     def limit(self, now_ms: int) -> float:
         """Returns the number of requests that may run now.
 
@@ -116,21 +127,21 @@
         del now_ms
         self._slow_run = self._shed_run = 0
         self._ratio = 1.0
-        if self._ramp_ms > 0:
-            self._ramping = True
-            self._ramp_began_ms = None
-            self.cold_restarts += 1
+        self._ramping = True
+        self._ramp_began_ms = None
+        self.cold_restarts += self._ramp_ms > 0
 
     def _share(self, now_ms: int) -> float:
         """Returns the share of the slots that the ramp allows."""
         if not self._ramping:
             return 1.0
         if self._ramp_began_ms is None:
-            return self._initial_share
-        passed = (now_ms - self._ramp_began_ms) / self._ramp_ms
-        if passed >= 1.0:
+            return self._initial_share if self._ramp_ms > 0 else 1.0
+        passed_ms = now_ms - self._ramp_began_ms
+        if passed_ms >= self._ramp_ms:
             self._ramping = False
             return 1.0
+        passed = passed_ms / self._ramp_ms
         return self._initial_share + (1.0 - self._initial_share) * passed
 
     def _on_shed(self, now_ms: int, started_ms: int) -> None:
--- a/sapphirelift/core/agent.py
+++ b/sapphirelift/core/agent.py
@@ -71,6 +71,20 @@
     reason: str = "draining"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume:
+    """The agent takes work again after a drain, as a new incarnation."""
+
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewLimits:
+    """Other limits come into force; a running ramp goes on."""
+
+    limits: limits_module.AgentLimits
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Withdraw:
     """The agent's data centre is out (or in again, if ``out`` is False)."""
@@ -89,7 +103,15 @@
 
 
 Event = (
-    PeerDatagram | RunFinished | Tick | Drain | Withdraw | BackendGone | Release
+    PeerDatagram
+    | RunFinished
+    | Tick
+    | Drain
+    | Resume
+    | NewLimits
+    | Withdraw
+    | BackendGone
+    | Release
 )
 
 
@@ -169,6 +191,11 @@
                     self._on_tick(now_ms)
                 case Drain():
                     self._on_drain(now_ms)
+                case Resume(incarnation):
+                    self._on_resume(incarnation, now_ms)
+                case NewLimits(limits):
+                    self.limits = limits
+                    self.requests.set_limits(limits)
                 case Withdraw(out=out):
                     self._on_withdraw(out, now_ms)
                 case BackendGone():
@@ -411,6 +438,17 @@
             self.requests.refuse_unstarted(flow, now_ms)
             self._send_move(flow, now_ms)
 
+    def _on_resume(self, incarnation: int, now_ms: int) -> None:
+        """Takes work again; flows of the former incarnation go on."""
+        if self.state == membership.UP:
+            return
+        self.identity = self.identity._replace(incarnation=incarnation)
+        self.state = self.requests.state = membership.UP
+        self.hand_on.state = membership.UP
+        self.balance.renew(incarnation)
+        self.requests.admission.restart(now_ms)
+        self._out.add(actions.LogState("agent_resumed", {}))
+
     def _on_withdraw(self, out: bool, now_ms: int) -> None:
         if out == self.withdrawn:
             return
--- a/sapphirelift/core/balance.py
+++ b/sapphirelift/core/balance.py
@@ -77,6 +77,15 @@
         )
         local.transfers = self
 
+    def renew(self, incarnation: int) -> None:
+        """Reports and takes runs as a further incarnation of this process.
+
+        Runs in progress go on: transfers keep the number of the first
+        incarnation, with which the peers tell the runs of owners apart.
+        """
+        self._reporter.renew(incarnation)
+        self._incoming.renew(incarnation)
+
     @property
     def pending(self) -> int:
         """Number of transfers in either direction that are not settled."""
--- a/sapphirelift/core/balancer.py
+++ b/sapphirelift/core/balancer.py
@@ -38,6 +38,7 @@
         )
         self.withdrawn: set[str] = set()
         self.withdrawn_ids: set[int] = set()
+        self.drained: set[str] = set()
         self._targets_by_service: dict[str, list[generations.Candidate]] = {}
         self._targets_version = -1
         self.counters: collections.Counter[str] = collections.Counter()
@@ -49,6 +50,12 @@
         self.members.version += 1
         self.withdrawn_ids = {keys.data_centre_id(n) for n in data_centres}
 
+    def set_drained(self, agents: set[str]) -> None:
+        """Sets the agents that operators have drained."""
+        if agents != self.drained:
+            self.drained = agents
+            self.members.version += 1
+
     def on_caller_datagram(
         self, data: bytes, caller: tuple[str, int], *, now_ms: int
     ) -> actions.SendPeer | actions.SendCaller | None:
@@ -152,7 +159,10 @@
         if self._targets_version != self.members.version:
             self._targets_by_service = {}
             for member in self.members.with_role("agent"):
-                if member.data_centre not in self.withdrawn:
+                if (
+                    member.data_centre not in self.withdrawn
+                    and member.name not in self.drained
+                ):
                     self._targets_by_service.setdefault(
                         member.service, []
                     ).append(
--- a/sapphirelift/core/fairness.py
+++ b/sapphirelift/core/fairness.py
@@ -93,7 +93,7 @@
     ) -> None:
         self._capacity = capacity
         self._slots = slots
-        self._shared_cap = max(1, int(slots * caller_slot_share))
+        self.set_caller_slot_share(caller_slot_share)
         # In order of last activity, so that the idle ones are evicted first.
         self._callers: collections.OrderedDict[str, _Caller[_T]] = (
             collections.OrderedDict()
@@ -110,6 +110,10 @@
         self._served = 0.0
         self._delayed = 0.0
 
+    def set_caller_slot_share(self, share: float) -> None:
+        """Sets the share of the slots that a caller may hold."""
+        self._shared_cap = max(1, int(self._slots * share))
+
     def __len__(self) -> int:
         return self._size
 
--- a/sapphirelift/core/fields.py
+++ b/sapphirelift/core/fields.py
@@ -55,9 +55,10 @@
         field = FIELDS.get(name)
         if field is None:
             return f"unknown field {name!r}"
-        if field.is_integer and value != math.floor(value):
-            return f"`{name}` must be a whole number"
+        # The range comes first: it excludes infinity and "not a number".
         if not field.minimum <= value <= field.maximum:
             low, high = field.minimum, field.maximum
             return f"`{name}` must be between {low} and {high}"
+        if field.is_integer and value != math.floor(value):
+            return f"`{name}` must be a whole number"
     return None
--- a/sapphirelift/core/heartbeats.py
+++ b/sapphirelift/core/heartbeats.py
@@ -68,6 +68,10 @@
         self._acked: dict[tuple[str, int], int] = {}
         members.watches = self.watches
 
+    def renew(self, incarnation: int) -> None:
+        """Sends as another incarnation from now on."""
+        self._beat = self._beat._replace(incarnation=incarnation)
+
     def watchers(self) -> list[messages.Address]:
         """Returns the peers that watch this member.
 
--- a/sapphirelift/core/incoming_runs.py
+++ b/sapphirelift/core/incoming_runs.py
@@ -19,6 +19,8 @@
 MAX_ACTIVE = 512
 MAX_KEPT = 8192
 MAX_OWNERS = 4096
+# Each undone drain adds one; runs to older ones are answered as unknown.
+MAX_INCARNATIONS = 16
 MAX_HELD_BYTES = 32 << 20
 # Longer than any datagram is assumed to stay in the network.
 KEEP_MS = 60_000
@@ -63,7 +65,11 @@
         local: requests.Requests,
         refusal: Callable[[], str],
     ) -> None:
-        self._incarnation = incarnation
+        # A run addressed to an earlier incarnation of this same process is
+        # known if it has been run.
+        self._incarnations: collections.deque[int] = collections.deque(
+            [incarnation], maxlen=MAX_INCARNATIONS
+        )
         self._out = out
         self._counters = counters
         self._local = local
@@ -82,6 +88,10 @@
         """Number of runs that have not ended or not been answered."""
         return len(self._active) + len(self._responding)
 
+    def renew(self, incarnation: int) -> None:
+        """Takes runs addressed to a further incarnation of this process."""
+        self._incarnations.append(incarnation)
+
     def on_run(
         self, body: messages.Run, sender: messages.Address, now_ms: int
     ) -> None:
@@ -223,7 +233,7 @@
     def _refuse_new(
         self, body: messages.Run, owner: _Owner
     ) -> outcomes.Outcome | None:
-        if body.peer_incarnation != self._incarnation:
+        if body.peer_incarnation not in self._incarnations:
             # An earlier incarnation of this agent may have run it.
             return outcomes.Unknown("peer_restarted")
         if body.run_id <= owner.forgotten_id:
--- a/sapphirelift/core/keyring.py
+++ b/sapphirelift/core/keyring.py
@@ -3,18 +3,15 @@
 from typing import Any
 from typing import NamedTuple
 
+import result
+
 from sapphirelift import errors
+from sapphirelift.core import records
 
-KEY = "records/keyring/cluster"
-# The key id has one byte in the header of peer datagrams.
-MAX_KEY_ID = 255
-MAX_KEYS = 2
-MIN_KEY_BYTES = 16
-MAX_KEY_BYTES = 64  # limit of BLAKE2b
+KEY = records.key_of("keyring", "cluster")
 # A process that has a new ring verifies with it at once but signs with its
 # new key only after this time, when all processes have the ring (P10).
 SWITCH_AFTER_MS = 7000
-_FIELDS = {"schema_version", "kind", "name", "current_id", "keys"}
 
 
 class Keys(NamedTuple):
@@ -24,35 +21,31 @@
     keys: dict[int, bytes]
 
 
-def parse(value: dict[str, Any]) -> Keys:
-    """Checks a keyring record.
+def of_record(record: records.Keyring) -> Keys:
+    """Returns the keys of a valid record."""
+    return Keys(
+        record.current_id,
+        {int(i): bytes.fromhex(key) for i, key in record.keys.items()},
+    )
+
+
+def parse(value: Any) -> Keys:
+    """Checks a keyring record with the parser of all records.
 
-    >>> record = {"current_id": 1, "keys": {"0": "5a" * 16, "1": "a5" * 16}}
+    >>> record = {"schema_version": 2, "kind": "keyring", "name": "cluster"}
+    >>> record |= {"current_id": 1, "keys": {"0": "5a" * 16, "1": "a5" * 16}}
     >>> sorted(parse(record).keys)
     [0, 1]
 
     Raises:
         RecordError: The record is not valid.
     """
-    unknown = sorted(value.keys() - _FIELDS)
-    if unknown:
-        raise _invalid(f"unknown field {unknown[0]}")
-    try:
-        keys = {int(i): bytes.fromhex(k) for i, k in value["keys"].items()}
-        current_id = int(value["current_id"])
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise _invalid("a field is missing or malformed") from error
-    if not 1 <= len(keys) <= MAX_KEYS or current_id not in keys:
-        raise _invalid("one or two keys, one of them current, are needed")
-    if any(not 0 <= i <= MAX_KEY_ID for i in keys):
-        raise _invalid(f"a key id is not within 0 to {MAX_KEY_ID}")
-    if any(not MIN_KEY_BYTES <= len(k) <= MAX_KEY_BYTES for k in keys.values()):
-        raise _invalid("a key is not 16 to 64 bytes long")
-    return Keys(current_id, keys)
-
-
-def _invalid(what: str) -> errors.RecordError:
-    return errors.RecordError(
-        f"keyring record: {what}",
-        remedy='give "current_id" and "keys" by id as hexadecimal digits',
+    match records.parse(value):
+        case result.Ok(records.Keyring() as record):
+            return of_record(record)
+        case result.Err(error):
+            raise error
+    raise errors.RecordError(
+        "record: `kind` is not keyring",
+        remedy="correct it and apply it again",
     )
--- a/sapphirelift/core/limits.py
+++ b/sapphirelift/core/limits.py
@@ -1,5 +1,7 @@
 """Bounds of an agent's tables and times."""
 
+from collections.abc import Mapping
+from typing import Any
 from typing import NamedTuple
 
 
@@ -30,3 +32,35 @@
     flow_idle_timeout_ms: int = 60_000
     move_within_ms: int = 10_000
     move_repeat_ms: int = 500
+
+
+# Limits that records can set, by the name of the field in the records.
+BY_FIELD = {
+    "cold_start.initial_share": "initial_share",
+    "cold_start.ramp_ms": "ramp_ms",
+    "fairness.caller_slot_share": "caller_slot_share",
+    "flows.idle_timeout_ms": "flow_idle_timeout_ms",
+    "flows.max_per_target": "max_flows",
+    "requests.reply_cache_ttl_ms": "reply_cache_ttl_ms",
+}
+_SHARES = ("initial_share", "caller_slot_share")
+
+
+def with_records(
+    settings: AgentLimits,
+    values: Mapping[str, float],
+    source: Mapping[str, str],
+) -> AgentLimits:
+    """Returns the limits in force.
+
+    Args:
+        settings: Limits of the agent's settings.
+        values: Effective values by field name.
+        source: Source by field name; a ``default`` leaves the settings.
+    """
+    changes: dict[str, Any] = {
+        name: values[field] if name in _SHARES else int(values[field])
+        for field, name in BY_FIELD.items()
+        if source[field] != "default"
+    }
+    return settings._replace(**changes)
--- a/sapphirelift/core/load.py
+++ b/sapphirelift/core/load.py
@@ -274,6 +274,11 @@
         self._sampled: list[str] = []
         self._resample_ms = 0
 
+    def renew(self, incarnation: int) -> None:
+        """Reports as another incarnation from now on."""
+        self._report = self._report._replace(incarnation=incarnation)
+        self._last = None
+
     def due(
         self, own: Own, now_ms: int
     ) -> tuple[bytes, list[messages.Address]]:
--- a/sapphirelift/core/record_set.py
+++ b/sapphirelift/core/record_set.py
@@ -31,12 +31,29 @@
             self.refused.pop(change.key, None)
             return
         match records.parse(change.value):
+            case result.Ok(record) if change.key != _key(record):
+                self._refuse(
+                    change.key, f"record: it is that of {_key(record)}"
+                )
             case result.Ok(record):
                 self._records[change.key] = record
                 self.refused.pop(change.key, None)
             case result.Err(error):
-                self.refused[change.key] = str(error)
-                self.counters["records_refused"] += 1
+                self._refuse(change.key, str(error))
+
+    def _refuse(self, key: str, reason: str) -> None:
+        self.refused[key] = reason
+        self.counters["records_refused"] += 1
+
+    def ports(self) -> tuple[dict[str, int], dict[str, int]]:
+        """Returns the datagram ports and the TCP ports by service."""
+        datagram, tcp = {}, {}
+        for record in self.services():
+            if record.routing == "hand_on" and record.datagram_port:
+                datagram[record.name] = record.datagram_port
+            if record.tcp_port:
+                tcp[record.name] = record.tcp_port
+        return datagram, tcp
 
     def service(self, name: str) -> records.Service | None:
         """Returns a service record."""
@@ -88,3 +105,7 @@
         return policy.effective(
             record, data_centre=data_centre, policies=self.policies()
         )
+
+
+def _key(record: records.Record) -> str:
+    return records.key_of(record.kind, record.name)
--- a/sapphirelift/core/records.py
+++ b/sapphirelift/core/records.py
@@ -16,6 +16,11 @@
 from sapphirelift.core import records_v1
 
 NEWEST_SCHEMA_VERSION = 2
+# The key id has one byte in the header of peer datagrams.
+MAX_KEY_ID = 255
+MAX_KEYS = 2
+MIN_KEY_BYTES = 16
+MAX_KEY_BYTES = 64  # limit of BLAKE2b
 _Unset = msgspec.UnsetType
 
 
@@ -211,6 +216,8 @@
 
 
 def _keyring_problem(record: Keyring) -> str | None:
+    if not 1 <= len(record.keys) <= MAX_KEYS:
+        return f"`keys` needs 1 to {MAX_KEYS} keys"
     if str(record.current_id) not in record.keys:
         return "`current_id` is not among `keys`"
     for key_id, digits in record.keys.items():
@@ -218,11 +225,21 @@
             length = len(bytes.fromhex(digits))
         except ValueError:
             length = 0
-        if not key_id.isdigit() or int(key_id) > 255 or not 16 <= length <= 64:
-            return "`keys` needs ids 0 to 255 and 16 to 64 bytes in hex"
+        if not _is_key_id(key_id) or not (
+            MIN_KEY_BYTES <= length <= MAX_KEY_BYTES
+        ):
+            return (
+                f"`keys` needs ids 0 to {MAX_KEY_ID} and "
+                f"{MIN_KEY_BYTES} to {MAX_KEY_BYTES} bytes in hex"
+            )
     return None
 
 
+def _is_key_id(text: str) -> bool:
+    """Whether a text is the usual spelling of a key id, such as ``7``."""
+    return text in map(str, range(MAX_KEY_ID + 1))
+
+
 def render(record: Record, *, schema_version: int) -> dict[str, Any]:
     """Returns a record as JSON data of a schema version.
 
--- a/sapphirelift/core/records_v1.py
+++ b/sapphirelift/core/records_v1.py
@@ -33,7 +33,7 @@
             upgraded[name] = rest.pop(name)
     try:
         upgraded |= _upgrade_body(str(upgraded.get("kind")), rest)
-    except ValueError as error:
+    except (TypeError, ValueError) as error:
         return result.Err(_invalid(str(error)))
     return result.Ok(upgraded | extensions)
 
--- a/sapphirelift/core/replies.py
+++ b/sapphirelift/core/replies.py
@@ -25,6 +25,10 @@
         ] = collections.OrderedDict()
         self.bytes = 0
 
+    def set_ttl_ms(self, ttl_ms: int) -> None:
+        """Sets the time to live of all entries."""
+        self._ttl_ms = ttl_ms
+
     def __len__(self) -> int:
         return len(self._entries)
 
--- a/sapphirelift/core/requests.py
+++ b/sapphirelift/core/requests.py
@@ -87,6 +87,15 @@
         self._next_run_id = 1
         self.transfers: Transfers | None = None
 
+    def set_limits(self, limits: limits_module.AgentLimits) -> None:
+        """Brings limits that records can set into force."""
+        self._limits = limits
+        self.admission.set_ramp(
+            initial_share=limits.initial_share, ramp_ms=limits.ramp_ms
+        )
+        self._queue.set_caller_slot_share(limits.caller_slot_share)
+        self._replies.set_ttl_ms(limits.reply_cache_ttl_ms)
+
     @property
     def running(self) -> int:
         """Number of requests that run on the backend server."""
--- a/tests/test_key_rotation.py
+++ b/tests/test_key_rotation.py
@@ -55,12 +55,18 @@
             {"current_id": 1, "keys": {"1": "no key"}},
             {"current_id": 1, "keys": {"1": "5a" * 32}, "extra": 1},
             {"current_id": 1, "keys": {str(n): "5a" * 32 for n in range(3)}},
+            {"current_id": 1, "keys": {"1": "5a" * 32, "01": "a5" * 32}},
+            {"current_id": 1, "keys": {"1": "5a" * 32, "²": "a5" * 32}},
+            {"kind": "service", "branch": "pihlajakoti"},
         ],
     )
     def test_invalid_record_is_refused(self, value: dict[str, object]) -> None:
         """Guards against a record that leaves a daemon without a key."""
+        head = {"schema_version": 2, "kind": "keyring", "name": "cluster"}
         with pytest.raises(errors.RecordError):
-            keyring.parse(value)
+            keyring.parse(head | value)
+        good = {"current_id": 1, "keys": {"1": "5a" * 32}}
+        assert keyring.parse(head | good).current_id == 1
 
 
 class TestFetch:
--- a/tests/test_member_processes.py
+++ b/tests/test_member_processes.py
@@ -205,9 +205,10 @@
         objects = platform_client.ObjectClient(fleet.platform_url)
         key = f"records/service/{SERVICE}"
         record = {
-            "schema_version": 1,
+            "schema_version": 2,
             "kind": "service",
             "name": SERVICE,
+            "branch": "pihlajakoti",
             "routing": "hand_on",
             "datagram_port": port,
         }
