Open the TCP ports of service records at the balancers

The TCP entry was started by nobody. A balancer now opens the port of each service record, closes it when the record goes and lets running requests end when it is stopped by plan.

Cause of the new seed: two balancers numbered their connections alike, so that their callers drew equal flow keys and shared one flow at the agent.

--- a/sapphirelift/_balancer_node.py
+++ b/sapphirelift/_balancer_node.py
@@ -15,6 +15,7 @@
 from sapphirelift import settings as settings_module
 from sapphirelift import wire
 from sapphirelift.callers import plain_ports
+from sapphirelift.callers import tcp_ports
 from sapphirelift.core import actions
 from sapphirelift.core import balancer
 from sapphirelift.core import membership
@@ -48,6 +49,9 @@
         self.plain_ports = plain_ports.PlainPorts(
             settings.public.ip, self._on_plain
         )
+        self.tcp_ports = tcp_ports.TcpPorts(
+            settings.public.ip, lambda: self.public.address
+        )
         self._epoch = 0
         self._resumed_sequence = 0
         self.public = endpoint.Endpoint(
@@ -108,10 +112,12 @@
     def apply_changes(self, changes: Iterable[replica.StoredObject]) -> None:
         """Brings changed objects into force."""
         super().apply_changes(changes)
-        self._update_plain_ports()
+        self._update_ports()
 
-    def _update_plain_ports(self) -> None:
-        wanted, _ = self.records.ports()
+    def _update_ports(self) -> None:
+        wanted, tcp = self.records.ports()
+        if self.state == membership.UP:
+            self.tcp_ports.update(tcp)
         self.plain_ports.update(wanted)
         self.core.plain.tick(set(wanted), clock.now_ms())
 
@@ -128,6 +134,7 @@
         """Stops by plan: forwards until callers have gone elsewhere."""
         self.announce_state(membership.LEAVING)
         with eventlet.Timeout(self.settings.stop_timeout_ms / 1000, False):
+            self.tcp_ports.stop()
             seen = -1
             while seen != self.core.packets:
                 seen = self.core.packets
@@ -140,7 +147,7 @@
 
     def _beat(self) -> None:
         super()._beat()
-        self._update_plain_ports()
+        self._update_ports()
 
     def dump(self) -> dict[str, Any]:
         """Returns the state of the process, without secrets."""
@@ -191,6 +198,10 @@
             yield status.Condition(
                 "backend_server_drained", agent, "drained by its record"
             )
+        for service, reason in self.tcp_ports.failed.items():
+            yield status.Condition(
+                "tcp_port_not_opened", f"{name} {service}", reason
+            )
         if self.sync.watch_silent:
             yield status.Condition(
                 "platform_watch_silent", name, "no answer to the last watch"
--- a/sapphirelift/callers/tcp_entry.py
+++ b/sapphirelift/callers/tcp_entry.py
@@ -5,6 +5,8 @@
 balancer that holds it.
 """
 
+import contextlib
+import secrets
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Any
@@ -12,6 +14,7 @@
 import eventlet
 import eventlet.greenthread
 import eventlet.wsgi
+import greenlet
 
 from sapphirelift import errors
 from sapphirelift import messages
@@ -34,7 +37,11 @@
 
     def __init__(self, entry: "TcpEntry") -> None:
         self._caller = client.Caller(
-            [entry.balancer], seed=entry.next_seed(), ip=entry.balancer.ip
+            [entry.balancer],
+            # Flow keys come from the seed. Entries of two balancers with
+            # equal seeds would share flows and each other's answers.
+            seed=secrets.randbits(128),
+            ip=entry.balancer.ip,
         )
         self._service = entry.service
         self._session: client.Session | None = None
@@ -78,15 +85,9 @@
         self.service = service
         self.balancer = balancer
         self._listener = eventlet.listen(address)
-        self._seed = 0
         self._connections: dict[tuple[str, str], _Connection] = {}
         self._task: eventlet.greenthread.GreenThread | None = None
 
-    def next_seed(self) -> int:
-        """Returns a seed that no other connection of this entry has."""
-        self._seed += 1
-        return self._seed
-
     def start(self) -> None:
         """Starts to accept connections."""
         self._task = eventlet.spawn(
@@ -98,14 +99,25 @@
             max_size=MAX_CONNECTIONS,
         )
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the entry was stopped and its last request has ended."""
+        return self._task is None or self._task.dead
+
     def stop(self) -> None:
-        """Stops to accept connections and closes those that are open."""
+        """Stops to accept connections and closes those that are idle.
+
+        The server closes each other connection after its running request.
+        """
         if self._task is not None:
             self._task.kill()
         self._listener.close()
-        connections, self._connections = self._connections, {}
-        for connection in connections.values():
-            connection.close()
+
+    def wait(self) -> None:
+        """Waits after ``stop`` until running requests have ended."""
+        if self._task is not None:
+            with contextlib.suppress(greenlet.GreenletExit):
+                self._task.wait()
 
     def _protocol(self) -> type[eventlet.wsgi.HttpProtocol]:
         entry = self
--- a/tests/test_records_in_force.py
+++ b/tests/test_records_in_force.py
@@ -232,4 +232,7 @@
         assert dump["flows"] > 0
         assert len(fleet.runs("agent-a")) > runs
         assert caller.broken_flows == 0
+        for name in fleet.public:
+            # Heartbeats of the former incarnation would be replays.
+            assert not fleet.dump(name)["membership"].get("dropped_replayed")
         caller.close()
--- a/tests/test_tcp_entry.py
+++ b/tests/test_tcp_entry.py
@@ -1,10 +1,15 @@
 """The TCP entry for ordinary callers."""
 
+import socket
+import threading
+from http import client as blocking_client
+
 import eventlet
 from eventlet.green.http import client as http_client
 
 from sapphirelift import messages
 from sapphirelift.callers import tcp_entry
+from sapphirelift.platform import client as platform_client
 from tests import processes
 
 SERVICE = "pakkaamo"
@@ -70,3 +75,88 @@
         assert answer.status == 503
         assert answer.headers["X-Not-Run"] == "1"
         entry.stop()
+
+
+def ask(port: int, path: str, body: bytes) -> tuple[int, bytes]:
+    """Sends one request as curl would."""
+    connection = blocking_client.HTTPConnection("127.0.0.1", port, timeout=10)
+    connection.request("POST", path, body=body)
+    answer = connection.getresponse()
+    found = answer.status, answer.read()
+    connection.close()
+    return found
+
+
+def is_closed(port: int) -> bool:
+    """Tells whether nothing listens on a port."""
+    with socket.socket() as probe:
+        return probe.connect_ex(("127.0.0.1", port)) != 0
+
+
+class TestBalancerPorts:
+    """TCP ports that balancers open for service records."""
+
+    def test_opens_answers_and_closes(self, fleet: processes.Fleet) -> None:
+        """Guards against ports not served and requests cut by a stop."""
+        port = processes.free_port()
+        record = {
+            "schema_version": 1,
+            "kind": "service",
+            "name": SERVICE,
+            "branch": "pihlajakoti",
+            "tcp_port": port,
+        }
+        fleet.start_platform()
+        fleet.start_balancer("balancer-1")
+        fleet.start_agent("agent-0", service=SERVICE)
+        fleet.wait_ready(agents=1)
+        objects = platform_client.ObjectClient(fleet.platform_url)
+        key = f"records/service/{SERVICE}"
+        objects.put(key, record)
+        processes.wait_until(lambda: not is_closed(port), timeout_s=7)
+        assert ask(port, "/echo", b"tray") == (200, b"tray")
+        idle = socket.create_connection(("127.0.0.1", port))
+        objects.delete(key)
+        processes.wait_until(lambda: is_closed(port), timeout_s=7)
+        objects.put(key, record)
+        processes.wait_until(lambda: not is_closed(port), timeout_s=7)
+        answers: list[tuple[int, bytes]] = []
+        running = threading.Thread(
+            target=lambda: answers.append(
+                ask(port, "/echo?work_ms=2500", b"late")
+            )
+        )
+        running.start()
+        processes.wait_until(lambda: fleet.dump("agent-0")["running"])
+        fleet.terminate("balancer-1")
+        processes.wait_until(lambda: is_closed(port), timeout_s=2)
+        running.join(10)
+        assert answers == [(200, b"late")]
+        assert fleet.wait_exit("balancer-1") == 0
+        idle.close()
+
+    def test_two_balancers_share_no_flow(self, fleet: processes.Fleet) -> None:
+        """Guards against equal flow keys and so another caller's answers."""
+        fleet.start_platform()
+        ports = []
+        for name in ("balancer-1", "balancer-2"):
+            fleet.start_balancer(name)
+        fleet.start_agent("agent-0", service=SERVICE)
+        fleet.wait_ready(agents=1)
+        connections = []
+        for name in ("balancer-1", "balancer-2"):
+            ports.append(processes.free_port())
+            entry = tcp_entry.TcpEntry(
+                service=SERVICE,
+                address=messages.Address("127.0.0.1", ports[-1]),
+                balancer=fleet.public[name],
+            )
+            entry.start()
+            connection = http_client.HTTPConnection("127.0.0.1", ports[-1])
+            connection.request("POST", "/echo", body=name.encode())
+            assert connection.getresponse().read() == name.encode()
+            connections.append((connection, entry))
+        assert fleet.dump("agent-0")["flows"] == 2
+        for connection, entry in connections:
+            connection.close()
+            entry.stop()
