Show members by state, revisions in force and conditions in status

Heartbeats carry whether the ramp limits the backend server. `watch` counted answers instead of seconds and so ended early after several changes.

--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -71,6 +71,11 @@
         limit = max(self.core.requests.admission.limit(clock.now_ms()), 1.0)
         return self.core.requests.running / limit
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether the ramp limits the backend server."""
+        return self.core.requests.admission.is_cold(clock.now_ms())
+
     def start(self) -> None:
         """Starts all tasks."""
         super().start()
@@ -146,7 +151,7 @@
             "withdrawn": self.core.withdrawn,
             "limits": self.core.limits._asdict(),
             "limit_sources": self._sources,
-            "cold": self.core.requests.admission.is_cold(clock.now_ms()),
+            "cold": self.is_cold,
             "admission_limit": self.core.requests.admission.limit(
                 clock.now_ms()
             ),
--- a/sapphirelift/_balancer_node.py
+++ b/sapphirelift/_balancer_node.py
@@ -184,6 +184,10 @@
                 yield status.Condition(
                     "member_suspected", member.name, "no heartbeat"
                 )
+            if member.cold:
+                yield status.Condition(
+                    "member_cold", member.name, "ramp after a start or failure"
+                )
             if member.state != membership.UP:
                 yield status.Condition(
                     "member_stopping", member.name, member.state
--- a/sapphirelift/_node.py
+++ b/sapphirelift/_node.py
@@ -94,6 +94,11 @@
         """Busy share of the admission limit, 0 to 1."""
         return 0.0
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether the ramp limits the backend server."""
+        return False
+
     @property
     def is_ready(self) -> bool:
         """Whether the process wants new work."""
@@ -143,6 +148,7 @@
                     "state": m.state,
                     "suspected": m.suspected,
                     "marked": m.marked,
+                    "cold": m.cold,
                     "incarnation": m.incarnation,
                 }
                 for m in self.members.members.values()
@@ -245,6 +251,7 @@
             self.heartbeats.beat(
                 state=self.state,
                 load=self.load,
+                cold=self.is_cold,
                 revision=self.replica.revision,
                 now_ms=clock.now_ms(),
             )
--- a/sapphirelift/core/heartbeats.py
+++ b/sapphirelift/core/heartbeats.py
@@ -128,7 +128,13 @@
         return messages.Address(self._beat.ip, self._beat.port)
 
     def beat(
-        self, *, state: str, load: float, revision: int, now_ms: int
+        self,
+        *,
+        state: str,
+        load: float,
+        revision: int,
+        now_ms: int,
+        cold: bool = False,
     ) -> list[actions.Action]:
         """Returns the next heartbeat for each watcher.
 
@@ -140,6 +146,7 @@
             state=state,
             load=load,
             revision=revision,
+            cold=cold,
         )
         data = wire.encode_peer(
             messages.Kind.HEARTBEAT, wire.encode_body(self._beat), self.ring
--- a/sapphirelift/core/membership.py
+++ b/sapphirelift/core/membership.py
@@ -51,6 +51,7 @@
         is_confirmed: Whether the member has been heard at all. Until then it
             is not suspected, but marked after ``MARK_AFTER_MS``.
         load: Busy share of the admission limit, 0 to 1.
+        cold: Whether the ramp limits the member's backend server.
         suspected: This process takes the member for dead.
         marked: A watcher has marked the announcement.
     """
@@ -70,6 +71,7 @@
     is_confirmed: bool = False
     sequence: int = 0
     load: float = 0.0
+    cold: bool = False
     suspected: bool = False
     marked: bool = False
     repair_ms: int | None = None
@@ -152,6 +154,7 @@
             member.is_confirmed = held.is_confirmed
             member.sequence = held.sequence
             member.load = held.load
+            member.cold = held.cold
             member.suspected = held.suspected
             member.repair_ms = held.repair_ms
             member.state = later_state(held.state, member.state)
@@ -220,6 +223,7 @@
             is_confirmed=True,
             sequence=beat.sequence,
             load=beat.load,
+            cold=beat.cold,
         )
         if held is not None:
             # The key stays, so that the object of an earlier incarnation can
@@ -239,6 +243,7 @@
         held.state = state
         held.sequence = beat.sequence
         held.load = beat.load
+        held.cold = beat.cold
         self._heard(held, now_ms)
 
     def _heard(self, member: Member, now_ms: int) -> None:
--- a/sapphirelift/messages.py
+++ b/sapphirelift/messages.py
@@ -171,6 +171,7 @@
 
     ``revision`` is the record revision that the sender has in force.
     ``load`` is the busy share of the sender's admission limit, 0 to 1.
+    ``cold`` tells whether the ramp limits the sender's backend server.
     """
 
     name: str
@@ -184,6 +185,7 @@
     service: str
     load: float
     revision: int
+    cold: bool = False
 
 
 class HeartbeatAck(NamedTuple):
--- a/sapphirelift/operators/cli.py
+++ b/sapphirelift/operators/cli.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import sys
+import time
 import urllib.error
 import urllib.request
 from collections.abc import Sequence
@@ -137,15 +138,19 @@
 
     def watch(self, kind: str = "", seconds: float = 60.0) -> None:
         """Prints changes of records as they happen, for some seconds."""
+        if kind:
+            record_store.check_kind(kind)
         prefix = records.key_of(kind, "") if kind else "records/"
         since = self._platform.list_objects(prefix).revision
-        print(f"watching from revision {since}", file=sys.stderr)
-        rounds = max(1, round(seconds * 1000 / WATCH_WAIT_MS))
-        for _ in range(rounds):
+        print(f"watching from revision {since}", file=sys.stderr, flush=True)
+        end_s = time.monotonic() + seconds
+        while (left_s := end_s - time.monotonic()) > 0:
             found = self._platform.watch(
-                prefix, since=since, wait_ms=WATCH_WAIT_MS
+                prefix,
+                since=since,
+                wait_ms=min(WATCH_WAIT_MS, max(1, round(left_s * 1000))),
             )
-            since = found.revision
+            since = max(since, found.revision)
             for item in found.objects:
                 change = "deleted" if item.value is None else "written"
                 print(f"{item.revision} {item.key} {change}", flush=True)
--- a/sapphirelift/operators/output.py
+++ b/sapphirelift/operators/output.py
@@ -32,6 +32,7 @@
         )
     if output == "json":
         return json.dumps(value, indent=2)
+    value = value.overview() if hasattr(value, "overview") else value
     match value:
         case str():
             return value
@@ -40,7 +41,7 @@
         case [*rows]:
             return table(rows)
         case _:
-            return "\n".join(f"{name}: {_cell(v)}" for name, v in value.items())
+            return "\n".join(_entry(n, v) for n, v in value.items())
 
 
 def table(rows: Sequence[Row]) -> str:
@@ -63,7 +64,28 @@
     )
 
 
+def _entry(name: str, value: Any) -> str:
+    """Returns one entry of a row; nested values become short tables."""
+    match value:
+        case {} if value:
+            rows = [{"name": n, "value": v} for n, v in value.items()]
+        case [{}, *_]:
+            rows = value
+        case _:
+            return f"{name}: {_cell(value)}"
+    lines = table(rows).splitlines()
+    return "\n".join([f"{name}:", *(f"  {line}" for line in lines)])
+
+
 def _cell(value: Any) -> str:
-    if isinstance(value, str):
-        return value
-    return json.dumps(value)
+    match value:
+        case str():
+            return value
+        case [] | {} if not value:
+            return "none"
+        case [*items]:
+            return ", ".join(map(_cell, items))
+        case {}:
+            return ", ".join(f"{n}={_cell(v)}" for n, v in value.items())
+        case _:
+            return json.dumps(value)
--- a/sapphirelift/operators/record_store.py
+++ b/sapphirelift/operators/record_store.py
@@ -52,7 +52,7 @@
             InputError: The kind does not exist.
             PlatformUnavailableError: No usable answer.
         """
-        _check_kind(kind)
+        check_kind(kind)
         return self._platform.list_objects(records.key_of(kind, "")).objects
 
     def get(self, kind: str, name: str) -> replica.StoredObject:
@@ -77,7 +77,7 @@
             InputError: The kind does not exist.
             PlatformUnavailableError: No usable answer.
         """
-        _check_kind(kind)
+        check_kind(kind)
         return self._platform.get(records.key_of(kind, name))
 
     def write(
@@ -165,7 +165,12 @@
     raise AssertionError("a result is Ok or Err")
 
 
-def _check_kind(kind: str) -> None:
+def check_kind(kind: str) -> None:
+    """Raises an error if a kind does not exist.
+
+    Raises:
+        InputError: The kind does not exist.
+    """
     if kind not in records.KINDS:
         raise errors.InputError(
             f"kind {kind!r} does not exist",
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -51,6 +51,16 @@
             timeout=30,
         )
 
+    def start(self, *arguments: str) -> subprocess.Popen[str]:
+        """Starts one command."""
+        return subprocess.Popen(
+            [sys.executable, "-m", "sapphirelift.operators.cli", *arguments],
+            env=self._environment,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+
     def json(self, *arguments: str) -> Any:
         """Runs one command that must succeed and returns its JSON output."""
         done = self.run(*arguments, "--output=json")
@@ -164,3 +174,68 @@
         done = Tool(tmp_path, "http://127.0.0.1:1").run("list", "service")
         assert done.returncode == 3
         assert done.stderr.count("\n") == 1
+
+
+class TestStatus:
+    """What one look shows while daemons run."""
+
+    def test_states_and_conditions(
+        self, tool: Tool, fleet: processes.Fleet
+    ) -> None:
+        """Guards against a status that lacks what needs attention."""
+        fleet.start_balancer("balancer-1")
+        fleet.start_agent("agent-a", service="pakkaamo")
+        fleet.start_agent("agent-cold", service="pakkaamo", ramp_ms=60_000)
+        fleet.start_agent("agent-gone", service="pakkaamo")
+        fleet.wait_ready(agents=3)
+        tool.json("withdraw", "etela-b", "--reason=flood")
+        tool.json("drain", "agent-a")
+        fleet.kill("agent-gone")
+
+        def states() -> dict[str, str]:
+            return {
+                m["name"]: m["state"] for m in tool.json("status")["members"]
+            }
+
+        wanted = {
+            "agent-a": "draining",
+            "agent-cold": "cold",
+            "agent-gone": "suspected",
+            "balancer-1": "up",
+        }
+        processes.wait_until(lambda: states() == wanted, timeout_s=30)
+        found = processes.wait_until(
+            lambda: (
+                s
+                if (s := tool.json("status"))["processes_with_newest"] >= 3
+                else None
+            )
+        )
+        assert found["store_revision"] >= found["newest_record_revision"] > 0
+        assert found["drained_backend_servers"] == ["agent-a"]
+        kinds = {(c["kind"], c["subject"]) for c in found["conditions"]}
+        assert ("data_centre_withdrawn", "etela-b") in kinds
+        assert ("backend_server_drained", "agent-a") in kinds
+        assert all(c["reason"] and c["since"] for c in found["conditions"])
+        text = tool.run("status").stdout
+        assert "suspected: agent-gone" in text
+        assert "{" not in text
+        address = f"127.0.0.1:{fleet.admin_ports['agent-a']}"
+        assert tool.json("dump", address)["state"] == "draining"
+        assert "{" not in tool.run("dump", address).stdout
+
+    def test_watch_prints_each_change(self, tool: Tool) -> None:
+        """Guards against a watch that ends after a number of changes."""
+        watching = tool.start("watch", "--seconds=5")
+        assert watching.stderr is not None
+        watching.stderr.readline()
+        for number in range(4):
+            tool.json("withdraw", f"etela-{number}")
+        tool.json("delete", "data_centre", "etela-0")
+        printed, _ = watching.communicate(timeout=20)
+        keys = [line.split()[1:] for line in printed.splitlines()]
+        prefix = "records/data_centre/etela-"
+        assert keys == [[f"{prefix}{n}", "written"] for n in range(4)] + [
+            [f"{prefix}0", "deleted"]
+        ]
+        assert tool.run("watch", "no-such-kind").returncode == 2
