--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -12,6 +12,7 @@
 from sapphirelift import clock
 from sapphirelift import messages
 from sapphirelift import settings as settings_module
+from sapphirelift import tasks
 from sapphirelift.backends import client as backend_client
 from sapphirelift.core import actions
 from sapphirelift.core import agent
@@ -79,9 +80,9 @@
     def start(self) -> None:
         """Starts all tasks."""
         super().start()
-        eventlet.spawn(self._run_core)
-        eventlet.spawn(self._tick)
-        eventlet.spawn(self._watch_backend)
+        tasks.spawn("core", self._run_core)
+        tasks.spawn("tick", self._tick)
+        tasks.spawn("backend_watch", self._watch_backend)
 
     def stop(self) -> None:
         """Stops by plan: finishes requests and moves all flows away."""
@@ -171,7 +172,10 @@
     def _run_core(self) -> None:
         while True:
             event = self._events.get()
-            self.carry_out(self.core.handle(event, now_ms=clock.now_ms()))
+            try:
+                self.carry_out(self.core.handle(event, now_ms=clock.now_ms()))
+            except Exception:
+                tasks.report("core")
 
     def _tick(self) -> None:
         while True:
--- a/sapphirelift/_announcer.py
+++ b/sapphirelift/_announcer.py
@@ -9,6 +9,7 @@
 import eventlet
 
 from sapphirelift import errors
+from sapphirelift import tasks
 from sapphirelift.core import backoff
 from sapphirelift.core import replica
 from sapphirelift.platform import client
@@ -67,7 +68,9 @@
                     if not self._write():
                         return
                     delays.reset()
-                except errors.SapphireliftError:
+                except Exception as error:
+                    if not isinstance(error, errors.SapphireliftError):
+                        tasks.report("announcer")
                     self.counters["announcements_failed"] += 1
                     self._again = True
                     eventlet.sleep(delays.next_s())
--- a/sapphirelift/_balancer_node.py
+++ b/sapphirelift/_balancer_node.py
@@ -13,6 +13,7 @@
 from sapphirelift import clock
 from sapphirelift import messages
 from sapphirelift import settings as settings_module
+from sapphirelift import tasks
 from sapphirelift import wire
 from sapphirelift.callers import plain_ports
 from sapphirelift.callers import tcp_ports
@@ -73,8 +74,8 @@
         """Starts all tasks."""
         super().start()
         self.public.start()
-        eventlet.spawn(self.status_writer.run)
-        eventlet.spawn(self._watch_own_clock)
+        tasks.spawn("status_writer", self.status_writer.run)
+        tasks.spawn("own_clock", self._watch_own_clock)
 
     def _watch_own_clock(self) -> None:
         """Asks the neighbours for their revision after a freeze."""
--- a/sapphirelift/_node.py
+++ b/sapphirelift/_node.py
@@ -14,6 +14,7 @@
 from sapphirelift import errors
 from sapphirelift import messages
 from sapphirelift import settings as settings_module
+from sapphirelift import tasks
 from sapphirelift import wire
 from sapphirelift.core import actions
 from sapphirelift.core import heartbeats
@@ -110,7 +111,7 @@
         self.peer.start()
         self.control.start()
         self.admin.start()
-        eventlet.spawn(self._beat_forever)
+        tasks.spawn("heartbeats", self._beat_forever)
         self.announcer.announce()
 
     def dump(self) -> dict[str, Any]:
@@ -138,6 +139,7 @@
                 self.peer.received_by_kind, self.control.received_by_kind
             ),
             "drops": self.drops,
+            "task_failures": dict(tasks.failures),
             "refused_records": dict(self.records.refused),
             "drained": sorted(self.records.drained()),
             "record_set": dict(self.records.counters),
@@ -186,12 +188,19 @@
     def apply_changes(self, changes: Iterable[replica.StoredObject]) -> None:
         """Brings changed objects into force."""
         for change in changes:
-            if change.key.startswith(MEMBERS):
-                self._apply_member(change)
-            elif change.key.startswith(record_set.PREFIX):
-                self._apply_record(change)
+            # An object of unknown form must not keep the others from force.
+            try:
+                self._apply_change(change)
+            except Exception:
+                tasks.report("apply_change")
         self.on_records(self.records)
 
+    def _apply_change(self, change: replica.StoredObject) -> None:
+        if change.key.startswith(MEMBERS):
+            self._apply_member(change)
+        elif change.key.startswith(record_set.PREFIX):
+            self._apply_record(change)
+
     def _apply_record(self, change: replica.StoredObject) -> None:
         reason = self.records.refused.get(change.key)
         self.records.apply(change)
--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -12,6 +12,7 @@
 from sapphirelift import errors
 from sapphirelift import messages
 from sapphirelift import settings as settings_module
+from sapphirelift import tasks
 from sapphirelift.core import backoff
 from sapphirelift.core import rate_limit
 from sapphirelift.core import replica
@@ -93,7 +94,7 @@
     def start(self) -> None:
         """Starts to serve the replica and to follow the platform."""
         self.server.start()
-        eventlet.spawn(self._follow)
+        tasks.spawn("platform_watch", self._follow)
 
     def dump(self) -> dict[str, Any]:
         """Returns the state for the admin port."""
--- a/sapphirelift/callers/tcp_entry.py
+++ b/sapphirelift/callers/tcp_entry.py
@@ -18,6 +18,7 @@
 
 from sapphirelift import errors
 from sapphirelift import messages
+from sapphirelift import tasks
 from sapphirelift.callers import client
 from sapphirelift.core import outcomes
 from sapphirelift.core import transfer
@@ -84,14 +85,19 @@
     ) -> None:
         self.service = service
         self.balancer = balancer
+        self._address = address
         self._listener = eventlet.listen(address)
         self._connections: dict[tuple[str, str], _Connection] = {}
         self._task: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
         """Starts to accept connections."""
-        self._task = eventlet.spawn(
-            eventlet.wsgi.server,
+        self._task = tasks.spawn("tcp_entry", self._serve)
+
+    def _serve(self) -> None:
+        if self._listener.fileno() < 0:  # by the server, when accepting failed
+            self._listener = eventlet.listen(self._address)
+        eventlet.wsgi.server(
             self._listener,
             self._answer,
             protocol=self._protocol(),
--- a/sapphirelift/daemon.py
+++ b/sapphirelift/daemon.py
@@ -43,9 +43,13 @@
         if not stopping.ready():
             stopping.send(None)
 
+    def log_dump() -> None:
+        eliot.log_message("state_dump", **node.dump())
+
     def on_dump(signum: int, frame: object) -> None:
         del signum, frame
-        eliot.log_message("state_dump", **node.dump())
+        # Outside the handler, which may interrupt a change of the state.
+        eventlet.spawn_after(0, log_dump)
 
     signal.signal(signal.SIGUSR1, on_dump)
     signal.signal(signal.SIGTERM, on_signal)
--- a/sapphirelift/operators/admin.py
+++ b/sapphirelift/operators/admin.py
@@ -11,6 +11,7 @@
 import prometheus_client
 
 from sapphirelift import messages
+from sapphirelift import tasks
 from sapphirelift.operators import metrics
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -31,17 +32,18 @@
     """Serves the state of one process."""
 
     def __init__(self, address: messages.Address, node: Inspectable) -> None:
+        self._address = address
         self._listener = eventlet.listen(address)
         self._node = node
 
     def start(self) -> None:
         """Starts to serve."""
-        eventlet.spawn(
-            eventlet.wsgi.server,
-            self._listener,
-            self._answer,
-            log_output=False,
-        )
+        tasks.spawn("admin", self._serve)
+
+    def _serve(self) -> None:
+        if self._listener.fileno() < 0:  # by the server, when accepting failed
+            self._listener = eventlet.listen(self._address)
+        eventlet.wsgi.server(self._listener, self._answer, log_output=False)
 
     def _answer(
         self, environ: dict[str, Any], start_response: StartResponse
--- a/sapphirelift/operators/metrics.py
+++ b/sapphirelift/operators/metrics.py
@@ -1,6 +1,7 @@
 """Prometheus metrics, collected from the state of a process."""
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 from typing import Any
 from typing import Protocol
 
@@ -14,7 +15,6 @@
 
 # Entries of the state dump that are numbers which only go up.
 _COUNTERS = {
-    "platform_calls": ("platform_calls", "Calls to the platform."),
     "peer_bytes_sent": (
         "peer_sent_bytes",
         "Bytes sent to other daemons and, through balancers, to callers.",
@@ -23,15 +23,65 @@
         "control_sent_bytes",
         "Bytes of control datagrams sent to other daemons.",
     ),
+    "cold_restarts": (
+        "cold_restarts",
+        "Times that the ramp of the backend server has restarted.",
+    ),
 }
 # Entries of the state dump that go up and down.
 _GAUGES = {
     "revision": ("record_revision", "Record revision in force."),
     "flows": ("flows", "Flows owned by the agent."),
+    "plain_flows": ("plain_flows", "Flows without a token."),
     "running": ("requests_running", "Requests on the backend server."),
     "queued": ("requests_queued", "Requests waiting for a slot."),
-    "limit": ("admission_limit_requests", "Current admission limit."),
+    "admission_limit": (
+        "admission_limit_requests",
+        "Requests that may run at once.",
+    ),
+    "utilisation": ("slot_utilisation_ratio", "Busy share of all slots."),
+    "cold": ("cold", "Whether the ramp limits the backend server."),
+    "withdrawn": ("withdrawn", "Whether the agent's data centre is out."),
+    "watch_silent": ("watch_silent", "Whether the last watch failed."),
+    "platform_reverted": (
+        "platform_reverted",
+        "Whether the platform is at a lower revision than this process.",
+    ),
 }
+# Entries of the state dump that are counters by name: metric, label, help.
+_LABELLED = {
+    "counters": ("events", "event", "Events of flows and requests."),
+    "record_counters": (
+        "record_sync_events",
+        "event",
+        "Events of the distribution of records.",
+    ),
+    "record_set": ("record_events", "event", "Events of records."),
+    "platform_calls_by_kind": (
+        "platform_calls",
+        "kind",
+        "Calls to the platform.",
+    ),
+    "platform_failures": (
+        "platform_failures",
+        "kind",
+        "Calls to the platform that failed.",
+    ),
+    "announcements": ("announcement_events", "event", "Own announcements."),
+    "membership": ("membership_events", "event", "Events of membership."),
+    "peer_sent_bytes_by_kind": (
+        "peer_datagrams_sent_bytes",
+        "kind",
+        "Bytes of datagrams sent to other daemons.",
+    ),
+    "peer_received_by_kind": (
+        "peer_datagrams_received",
+        "kind",
+        "Datagrams received from other daemons.",
+    ),
+    "task_failures": ("task_failures", "task", "Uncaught errors."),
+}
+_DROP = "dropped_"
 
 
 class Dumpable(Protocol):
@@ -49,23 +99,51 @@
 
     def collect(self) -> Iterator[_Family]:
         """Yields all metric families."""
-        state = self._node.dump()
-        for entry, (name, text) in _COUNTERS.items():
-            if entry in state:
-                yield _Counter(f"sapphirelift_{name}", text, state[entry])
-        for entry, (name, text) in _GAUGES.items():
-            if entry in state:
-                yield _Gauge(f"sapphirelift_{name}", text, state[entry])
-        yield _labelled(
-            "events", "Events by name.", "event", state.get("counters", {})
-        )
-        yield _labelled(
-            "dropped_datagrams",
-            "Datagrams dropped by reason.",
-            "reason",
-            state.get("drops", {}),
-        )
-        yield _member_family(state.get("members", {}))
+        yield from families(self._node.dump())
+
+
+def families(state: Mapping[str, Any]) -> Iterator[_Family]:
+    """Yields the metric families of a state dump."""
+    for entry, (name, text) in _COUNTERS.items():
+        if entry in state:
+            yield _Counter(f"sapphirelift_{name}", text, state[entry])
+    for entry, (name, text) in _GAUGES.items():
+        # A balancer has a list of data centres under ``withdrawn``.
+        if isinstance(state.get(entry), int | float):
+            yield _Gauge(f"sapphirelift_{name}", text, float(state[entry]))
+    for entry, (name, label, text) in _LABELLED.items():
+        yield _labelled(name, text, label, state.get(entry, {}))
+    yield _labelled(
+        "dropped_datagrams", "Datagrams dropped.", "reason", _drops(state)
+    )
+    yield _labelled(
+        "status_events",
+        "Events of the status writer.",
+        "event",
+        state.get("status", {}).get("counters", {}),
+    )
+    yield _Counter(
+        "sapphirelift_keyrings_refused",
+        "Keyring records that were not valid.",
+        state.get("keyring", {}).get("refused", 0),
+    )
+    yield _Gauge(
+        "sapphirelift_records_refused",
+        "Records whose newest version is not in force.",
+        len(state.get("refused_records", {})),
+    )
+    yield _member_family(state.get("members", {}))
+
+
+def _drops(state: Mapping[str, Any]) -> dict[str, int]:
+    """Returns the drops by reason, of the sockets and of the core."""
+    found = dict(state.get("drops", {}))
+    for entry in ("counters", "membership"):
+        for name, value in state.get(entry, {}).items():
+            if name.startswith(_DROP):
+                reason = name.removeprefix(_DROP)
+                found[reason] = found.get(reason, 0) + value
+    return found
 
 
 def _labelled(
@@ -73,7 +151,8 @@
 ) -> _Family:
     family = _Counter(f"sapphirelift_{name}", text, labels=[label])
     for value_name, value in values.items():
-        family.add_metric([value_name], value)
+        if not value_name.startswith(_DROP):
+            family.add_metric([value_name], value)
     return family
 
 
@@ -86,6 +165,8 @@
     counts: dict[tuple[str, str], int] = {}
     for member in members.values():
         state = "suspected" if member["suspected"] else member["state"]
+        if state == "up" and member["cold"]:
+            state = "cold"
         key = (member["role"], state)
         counts[key] = counts.get(key, 0) + 1
     for key, count in counts.items():
--- a/sapphirelift/peers/endpoint.py
+++ b/sapphirelift/peers/endpoint.py
@@ -8,6 +8,7 @@
 from eventlet.green import socket
 
 from sapphirelift import messages
+from sapphirelift import tasks
 from sapphirelift import wire
 
 _BUFFER_BYTES = 4 << 20
@@ -47,7 +48,7 @@
 
     def start(self) -> None:
         """Starts to receive."""
-        self._task = eventlet.spawn(self._receive)
+        self._task = tasks.spawn("endpoint", self._receive)
 
     def stop(self) -> None:
         """Stops to receive and closes the socket."""
@@ -88,6 +89,9 @@
                 self.datagrams_received += 1
                 if len(data) > _KIND_OFFSET:
                     self.received_by_kind[data[_KIND_OFFSET]] += 1
-                handler(data, address)
+                try:
+                    handler(data, address)
+                except Exception:
+                    tasks.report("endpoint")
             else:
                 eventlet.sleep(0)
--- /dev/null
+++ b/sapphirelift/tasks.py
@@ -0,0 +1,50 @@
+"""Green threads that go on after an uncaught error."""
+
+import collections
+from collections.abc import Callable
+
+import eliot
+import eventlet
+import eventlet.greenthread
+
+from sapphirelift import clock
+
+RESTART_S = 0.2
+# A task that fails at each datagram must not flood the log.
+LOG_INTERVAL_MS = 10_000
+
+# Uncaught errors by task, for dump and metrics.
+failures: collections.Counter[str] = collections.Counter()
+_logged_ms: dict[str, int] = {}
+
+
+def report(name: str) -> None:
+    """Counts the error that is being handled and logs it at a bounded rate.
+
+    Args:
+        name: Name of the task, from a small fixed set.
+    """
+    failures[name] += 1
+    now_ms = clock.now_ms()
+    logged_ms = _logged_ms.get(name)
+    if logged_ms is None or now_ms - logged_ms >= LOG_INTERVAL_MS:
+        _logged_ms[name] = now_ms
+        eliot.log_message("task_failed", task=name, failures=failures[name])
+        eliot.write_traceback()
+
+
+def spawn(
+    name: str, function: Callable[[], None]
+) -> eventlet.greenthread.GreenThread:
+    """Starts a long-lived task; an uncaught error starts it again."""
+    return eventlet.spawn(_run, name, function)
+
+
+def _run(name: str, function: Callable[[], None]) -> None:
+    while True:
+        try:
+            function()
+            return
+        except Exception:
+            report(name)
+            eventlet.sleep(RESTART_S)
--- /dev/null
+++ b/tests/test_operators_guide.py
@@ -0,0 +1,165 @@
+"""The operators' guide and the metrics against the code."""
+
+import pathlib
+import re
+import urllib.request
+from typing import Any
+
+import msgspec
+from prometheus_client import parser
+
+from sapphirelift import settings
+from sapphirelift.core import fields
+from sapphirelift.core import limits
+from sapphirelift.core import records
+from sapphirelift.operators import cli
+from sapphirelift.operators import metrics
+from tests import processes
+
+GUIDE = pathlib.Path(__file__).parent.parent / "docs" / "operators.md"
+TYPES = {int: "integer", float: "number", str: "text"}
+
+
+def rows(heading: str) -> list[list[str]]:
+    """Returns the cells of the table below a heading row."""
+    _, _, rest = GUIDE.read_text().partition(f"| {heading} |")
+    table = rest.partition("\n\n")[0].splitlines()[2:]
+    return [[c.strip() for c in row.strip("|").split("|")] for row in table]
+
+
+def type_name(kind: Any) -> str:
+    """Returns how the guide names a type."""
+    text = str(kind)
+    for struct in ("Endpoint", "BackendSettings"):
+        if struct in text:
+            return (
+                "list of addresses"
+                if "tuple" in text
+                else ("address" if struct == "Endpoint" else "object")
+            )
+    if "Literal" in text:
+        return "`balancer` or `agent`"
+    return TYPES[kind]
+
+
+class TestGuide:
+    """Tables of docs/operators.md."""
+
+    def test_settings(self) -> None:
+        """Guards against a setting that is missing or described wrongly."""
+        wanted = []
+        for prefix, struct in (
+            ("", settings.Settings),
+            ("backend.", settings.BackendSettings),
+        ):
+            for field in msgspec.structs.fields(struct):
+                default = field.default
+                if default is msgspec.NODEFAULT:
+                    text = "required"
+                else:
+                    text = "none" if default in (None, ()) else f"{default}"
+                name = f"`{prefix}{field.name}`"
+                wanted.append([name, type_name(field.type), text])
+        found = rows("setting | type | default | meaning")
+        assert [row[:3] for row in found] == wanted
+        assert all(len(row) == 4 and row[3] for row in found)
+
+    def test_exit_statuses(self) -> None:
+        """Guards against scripts that take one failure for another."""
+        found = re.search(r"## Exit status\n\n(.*)\.\n", GUIDE.read_text())
+        assert found is not None
+        assert dict(e.split(" ", 1) for e in found[1].split(", ")) == {
+            "0": "done",
+            str(cli.REFUSED_STATUS): "refused",
+            str(cli.INPUT_STATUS): "usage or input",
+            str(cli.UNREACHABLE_STATUS): "platform unreachable",
+            str(cli.CONFLICT_STATUS): "conflict",
+        }
+
+    def test_fields(self) -> None:
+        """Guards against a field or default that the code does not have."""
+        found = rows("field (version 2) | version 1 | default")
+        assert [
+            (a.strip("`"), b.strip("`"), float(c.split()[0]))
+            for a, b, c in found
+        ] == [
+            (name, field.v1_name, field.default)
+            for name, field in fields.FIELDS.items()
+        ]
+        assert list(limits.BY_FIELD) == list(fields.FIELDS)
+
+    def test_kinds(self) -> None:
+        """Guards against a kind or field of records left out."""
+        found = {
+            row[0].strip("`"): set(re.findall(r"`(\w+)`", row[2]))
+            for row in rows("kind | purpose | fields (version 2)")
+        }
+        assert list(found) == list(records.KINDS)
+        for struct in records.Record.__args__:
+            names = set(struct.__struct_fields__)
+            names -= {"kind", "name", "schema_version"}
+            assert names <= found[struct.__struct_config__.tag or kind(struct)]
+
+
+def kind(struct: Any) -> str:
+    """Returns the kind of a record type."""
+    defaults = {f.name: f.default for f in msgspec.structs.fields(struct)}
+    return defaults["kind"]
+
+
+class TestMetrics:
+    """Names and completeness of the metrics."""
+
+    def test_names(self, fleet: processes.Fleet) -> None:
+        """Guards against counters that Prometheus cannot read."""
+        fleet.start_platform()
+        fleet.start_balancer("balancer-1")
+        fleet.start_agent("agent-0", service="pakkaamo", ramp_ms=60_000)
+        fleet.wait_ready(agents=1)
+        samples = {}
+        for name in ("balancer-1", "agent-0"):
+            url = f"http://127.0.0.1:{fleet.admin_ports[name]}/metrics"
+            with urllib.request.urlopen(url, timeout=3) as answer:
+                text = answer.read().decode()
+            for family in parser.text_string_to_metric_families(text):
+                assert re.fullmatch(r"sapphirelift_[a-z_]+", family.name)
+                for sample in family.samples:
+                    if family.type == "counter":
+                        assert sample.name.endswith(("_total", "_created"))
+                    key = (name, sample.name, *sample.labels.values())
+                    samples[key] = sample.value
+        prefix = "sapphirelift"
+        assert samples["agent-0", f"{prefix}_platform_calls_total", "list"] > 0
+        assert samples["agent-0", f"{prefix}_cold"] == 1
+        assert samples["agent-0", f"{prefix}_admission_limit_requests"] > 0
+        assert ("agent-0", f"{prefix}_cold_restarts_total") in samples
+
+    def test_all_numbers_of_the_dump(self, fleet: processes.Fleet) -> None:
+        """Guards against a counter that is in the dump only."""
+        fleet.start_platform()
+        fleet.start_balancer("balancer-1")
+        fleet.start_agent("agent-0", service="pakkaamo")
+        fleet.wait_ready(agents=1)
+        # Identity and settings, or given by kind in an exported entry.
+        other = {"incarnation", "platform_calls", "limits"}
+        for name in ("balancer-1", "agent-0"):
+            state = fleet.dump(name)
+            for entry, value in state.items():
+                changed = state | {entry: _raised(value)}
+                if changed == state or entry in other:
+                    continue
+                assert _values(changed) != _values(state), entry
+
+
+def _raised(value: Any) -> Any:
+    """Returns a number, or the numbers of a table, with one added."""
+    match value:
+        case int() | float():
+            return value + 1
+        case {} if all(isinstance(v, int | float) for v in value.values()):
+            return value | {"planned": 1}
+    return value
+
+
+def _values(state: dict[str, Any]) -> list[Any]:
+    return [list(family.samples) for family in metrics.families(state)]
--- /dev/null
+++ b/tests/test_tasks.py
@@ -0,0 +1,83 @@
+"""Uncaught errors in the tasks of a daemon."""
+
+import eventlet
+
+from sapphirelift import messages
+from sapphirelift import tasks
+from sapphirelift.peers import endpoint
+from sapphirelift.platform import client as platform_client
+from tests import processes
+
+
+class TestTasks:
+    """A task goes on after an error."""
+
+    def test_starts_again(self) -> None:
+        """Guards against a daemon without one of its tasks."""
+        turns = []
+
+        def fail_once() -> None:
+            turns.append(len(turns))
+            if len(turns) == 1:
+                raise KeyError("planned")
+
+        before = tasks.failures["test"]
+        tasks.spawn("test", fail_once).wait()
+        assert turns == [0, 1]
+        assert tasks.failures["test"] == before + 1
+
+    def test_socket_survives_its_handler(self) -> None:
+        """Guards against a datagram that ends the socket's task."""
+        seen = []
+
+        def handle(data: bytes, address: tuple[str, int]) -> None:
+            seen.append(data)
+            if data == b"bad!":
+                raise KeyError("planned")
+
+        opened = endpoint.Endpoint(messages.Address("127.0.0.1", 0), handle)
+        opened.start()
+        for data in (b"bad!", b"good"):
+            opened.send(data, opened.address)
+        eventlet.sleep(0.1)
+        opened.stop()
+        assert seen == [b"bad!", b"good"]
+
+
+class TestDaemon:
+    """Objects that no release of ours has written."""
+
+    def test_malformed_objects_stop_nothing(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against an object that ends the watch or hides others."""
+        fleet.start_platform()
+        fleet.start_balancer("balancer-1")
+        for name in ("agent-0", "agent-1", "agent-2"):
+            fleet.start_agent(name, service="pakkaamo")
+        fleet.wait_ready(agents=3)
+        objects = platform_client.ObjectClient(fleet.platform_url)
+        objects.put("members/agent/pakkaamo/odd", {"name": 5})
+        objects.put("records/service/odd", {"schema_version": [1]})
+        objects.put(
+            "records/data_centre/etela-b",
+            {
+                "schema_version": 2,
+                "kind": "data_centre",
+                "name": "etela-b",
+                "withdrawn": True,
+            },
+        )
+        processes.wait_until(
+            lambda: fleet.dump("balancer-1")["withdrawn"] == ["etela-b"],
+            timeout_s=7,
+        )
+        dump = fleet.dump("balancer-1")
+        assert dump["task_failures"] == {"apply_change": 1}
+        assert "records/service/odd" in dump["refused_records"]
+        # One that was never heard is suspected after 10 s only.
+        fleet.kill("agent-0")
+        processes.wait_until(
+            lambda: fleet.dump("balancer-1")["members"]["agent-0"]["suspected"],
+            timeout_s=15,
+        )
