--- a/sapphirelift/_balancer_node.py
+++ b/sapphirelift/_balancer_node.py
@@ -13,11 +13,14 @@
 from sapphirelift import clock
 from sapphirelift import messages
 from sapphirelift import settings as settings_module
+from sapphirelift import tasks
 from sapphirelift import wire
 from sapphirelift.callers import plain_ports
+from sapphirelift.callers import tcp_ports
 from sapphirelift.core import actions
 from sapphirelift.core import balancer
 from sapphirelift.core import membership
+from sapphirelift.core import record_set
 from sapphirelift.core import replica
 from sapphirelift.core import routing
 from sapphirelift.core import status
@@ -47,6 +50,9 @@
         self.plain_ports = plain_ports.PlainPorts(
             settings.public.ip, self._on_plain
         )
+        self.tcp_ports = tcp_ports.TcpPorts(
+            settings.public.ip, lambda: self.public.address
+        )
         self._epoch = 0
         self._resumed_sequence = 0
         self.public = endpoint.Endpoint(
@@ -68,8 +74,8 @@
         """Starts all tasks."""
         super().start()
         self.public.start()
-        eventlet.spawn(self.status_writer.run)
-        eventlet.spawn(self._watch_own_clock)
+        tasks.spawn("status_writer", self.status_writer.run)
+        tasks.spawn("own_clock", self._watch_own_clock)
 
     def _watch_own_clock(self) -> None:
         """Asks the neighbours for their revision after a freeze."""
@@ -107,10 +113,12 @@
     def apply_changes(self, changes: Iterable[replica.StoredObject]) -> None:
         """Brings changed objects into force."""
         super().apply_changes(changes)
-        self._update_plain_ports()
+        self._update_ports()
 
-    def _update_plain_ports(self) -> None:
-        wanted = plain_ports.wanted_ports(self.replica)
+    def _update_ports(self) -> None:
+        wanted, tcp = self.records.ports()
+        if self.state == membership.UP:
+            self.tcp_ports.update(tcp)
         self.plain_ports.update(wanted)
         self.core.plain.tick(set(wanted), clock.now_ms())
 
@@ -127,18 +135,20 @@
         """Stops by plan: forwards until callers have gone elsewhere."""
         self.announce_state(membership.LEAVING)
         with eventlet.Timeout(self.settings.stop_timeout_ms / 1000, False):
+            self.tcp_ports.stop()
             seen = -1
             while seen != self.core.packets:
                 seen = self.core.packets
                 eventlet.sleep(QUIET_S)
 
-    def set_withdrawn(self, data_centres: set[str]) -> None:
-        """Sets the data centres that operators have taken out."""
-        self.core.set_withdrawn(data_centres)
+    def on_records(self, records: record_set.RecordSet) -> None:
+        """Brings the records in force to the core."""
+        self.core.set_withdrawn(records.withdrawn())
+        self.core.set_drained(records.drained())
 
     def _beat(self) -> None:
         super()._beat()
-        self._update_plain_ports()
+        self._update_ports()
 
     def dump(self) -> dict[str, Any]:
         """Returns the state of the process, without secrets."""
@@ -175,6 +185,10 @@
                 yield status.Condition(
                     "member_suspected", member.name, "no heartbeat"
                 )
+            if member.cold:
+                yield status.Condition(
+                    "member_cold", member.name, "ramp after a start or failure"
+                )
             if member.state != membership.UP:
                 yield status.Condition(
                     "member_stopping", member.name, member.state
@@ -183,6 +197,16 @@
             yield status.Condition(
                 "data_centre_withdrawn", data_centre, "withdrawn by its record"
             )
+        for key, reason in self.records.refused.items():
+            yield status.Condition("record_refused", key, reason)
+        for agent in self.core.drained:
+            yield status.Condition(
+                "backend_server_drained", agent, "drained by its record"
+            )
+        for service, reason in self.tcp_ports.failed.items():
+            yield status.Condition(
+                "tcp_port_not_opened", f"{name} {service}", reason
+            )
         if self.sync.watch_silent:
             yield status.Condition(
                 "platform_watch_silent", name, "no answer to the last watch"
--- a/sapphirelift/_node.py
+++ b/sapphirelift/_node.py
@@ -14,17 +14,18 @@
 from sapphirelift import errors
 from sapphirelift import messages
 from sapphirelift import settings as settings_module
+from sapphirelift import tasks
 from sapphirelift import wire
 from sapphirelift.core import actions
 from sapphirelift.core import heartbeats
 from sapphirelift.core import keyring
 from sapphirelift.core import keys
 from sapphirelift.core import membership
+from sapphirelift.core import record_set
 from sapphirelift.core import replica
 from sapphirelift.operators import admin
 from sapphirelift.peers import endpoint
 
-DATA_CENTRES = "records/data_centre/"
 MEMBERS = "members/"
 CONTROL_KINDS = (
     messages.Kind.HEARTBEAT,
@@ -53,6 +54,7 @@
             rng=self.rng,
         )
         self.replica = self.sync.replica
+        self.records = record_set.RecordSet()
         self.members = membership.Membership(
             own_name=settings.name, repairs=settings.role == "balancer"
         )
@@ -93,6 +95,11 @@
         """Busy share of the admission limit, 0 to 1."""
         return 0.0
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether the ramp limits the backend server."""
+        return False
+
     @property
     def is_ready(self) -> bool:
         """Whether the process wants new work."""
@@ -104,7 +111,7 @@
         self.peer.start()
         self.control.start()
         self.admin.start()
-        eventlet.spawn(self._beat_forever)
+        tasks.spawn("heartbeats", self._beat_forever)
         self.announcer.announce()
 
     def dump(self) -> dict[str, Any]:
@@ -132,6 +139,10 @@
                 self.peer.received_by_kind, self.control.received_by_kind
             ),
             "drops": self.drops,
+            "task_failures": dict(tasks.failures),
+            "refused_records": dict(self.records.refused),
+            "drained": sorted(self.records.drained()),
+            "record_set": dict(self.records.counters),
             "membership": dict(self.members.counters),
             "members": {
                 m.name: {
@@ -139,6 +150,7 @@
                     "state": m.state,
                     "suspected": m.suspected,
                     "marked": m.marked,
+                    "cold": m.cold,
                     "incarnation": m.incarnation,
                 }
                 for m in self.members.members.values()
@@ -176,19 +188,30 @@
     def apply_changes(self, changes: Iterable[replica.StoredObject]) -> None:
         """Brings changed objects into force."""
         for change in changes:
-            if change.key.startswith(MEMBERS):
-                self._apply_member(change)
-            elif change.key == keyring.KEY:
-                self.rotation.apply(change)
-        out = {
-            item.key.removeprefix(DATA_CENTRES)
-            for item in self.replica.items(DATA_CENTRES)
-            if item.value is not None and item.value.get("withdrawn")
-        }
-        self.set_withdrawn(out)
-
-    def set_withdrawn(self, data_centres: set[str]) -> None:
-        """Sets the data centres that operators have taken out."""
+            # An object of unknown form must not keep the others from force.
+            try:
+                self._apply_change(change)
+            except Exception:
+                tasks.report("apply_change")
+        self.on_records(self.records)
+
+    def _apply_change(self, change: replica.StoredObject) -> None:
+        if change.key.startswith(MEMBERS):
+            self._apply_member(change)
+        elif change.key.startswith(record_set.PREFIX):
+            self._apply_record(change)
+
+    def _apply_record(self, change: replica.StoredObject) -> None:
+        reason = self.records.refused.get(change.key)
+        self.records.apply(change)
+        refused = self.records.refused.get(change.key)
+        if refused is not None and refused != reason:
+            eliot.log_message("record_refused", key=change.key, reason=refused)
+        if change.key == keyring.KEY:
+            self.rotation.apply(change)
+
+    def on_records(self, records: record_set.RecordSet) -> None:
+        """Brings the records in force to the core."""
         raise NotImplementedError
 
     def _apply_member(self, change: replica.StoredObject) -> None:
@@ -237,6 +260,7 @@
             self.heartbeats.beat(
                 state=self.state,
                 load=self.load,
+                cold=self.is_cold,
                 revision=self.replica.revision,
                 now_ms=clock.now_ms(),
             )
