Authenticate platform and record fetches with certificates

Settings `platform_credentials` (CA, client certificate and key, bearer token) and `peer_credentials` (mutual TLS of record fetches), checked before the start; the command line takes the same files as options. A token without https:// is refused. Token and peer certificate files are read again when they are used, so that they can be replaced without a restart; certificates towards the platform are read at the start.

The platform stand-in serves TLS and can require client certificates and a token.

--- a/sapphirelift/_balancer_node.py
+++ b/sapphirelift/_balancer_node.py
@@ -54,7 +54,10 @@
         )
         self.status_writer = _status_writer.StatusWriter(
             client.ObjectClient(
-                settings.platform_url, name=settings.name, rng=self.rng
+                settings.platform_url,
+                name=settings.name,
+                rng=self.rng,
+                credentials=settings.platform_credentials,
             ),
             name=settings.name,
             incarnation=self.incarnation,
--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -69,11 +69,17 @@
         """
         self.replica = replica.Replica()
         self.platform = client.ObjectClient(
-            settings.platform_url, name=settings.name, rng=rng
+            settings.platform_url,
+            name=settings.name,
+            rng=rng,
+            credentials=settings.platform_credentials,
         )
         self._key = bytes.fromhex(settings.cluster_key_hex)
         self.server = records.RecordServer(
-            settings.peer.address, self.replica, key=self._key
+            settings.peer.address,
+            self.replica,
+            key=self._key,
+            credentials=settings.peer_credentials,
         )
         self.counters: collections.Counter[str] = collections.Counter()
         self.platform_reverted = False
@@ -260,7 +266,10 @@
         epoch = self._epoch()
         try:
             reply = records.fetch(
-                address, since=self.replica.revision, key=self._key
+                address,
+                since=self.replica.revision,
+                key=self._key,
+                credentials=self._settings.peer_credentials,
             )
         except errors.FetchError:
             self.counters["fetches_failed"] += 1
--- a/sapphirelift/bench/fleet.py
+++ b/sapphirelift/bench/fleet.py
@@ -96,11 +96,12 @@
         self.backend_ports: dict[str, int] = {}
         self.fault_admin_ports: dict[str, int] = {}
         self.platform_port = 0
+        self.platform_scheme = "http"
 
     @property
     def platform_url(self) -> str:
         """Base URL of the platform stand-in."""
-        return f"http://127.0.0.1:{self.platform_port}"
+        return f"{self.platform_scheme}://127.0.0.1:{self.platform_port}"
 
     def start_platform(self) -> None:
         """Starts the platform stand-in."""
--- a/sapphirelift/operators/cli.py
+++ b/sapphirelift/operators/cli.py
@@ -13,6 +13,7 @@
 import fire.core
 
 import sapphirelift
+from sapphirelift import credentials
 from sapphirelift import errors
 from sapphirelift import messages
 from sapphirelift.core import fields
@@ -40,7 +41,8 @@
     """Reads and writes records, and shows the state of the system.
 
     Options of every command: --platform=URL (or the environment variable
-    SAPPHIRELIFT_PLATFORM) and --output=table|json.
+    SAPPHIRELIFT_PLATFORM) and --output=table|json; for an https:// URL
+    --ca_file, --certificate_file, --key_file and --token_file.
     """
 
     def __init__(self, platform: client.ObjectClient) -> None:
@@ -299,9 +301,17 @@
     output = _take_option(arguments, "output", "table")
     default = os.environ.get(PLATFORM_VARIABLE, DEFAULT_PLATFORM)
     url = _take_option(arguments, "platform", default)
+    files = credentials.PlatformCredentials(
+        **{
+            name: _take_option(arguments, name, "")
+            for name in credentials.PlatformCredentials.__struct_fields__
+        }
+    )
+    for problem in credentials.problems(url, files):
+        return _fail(problem, INPUT_STATUS)
     try:
         fire.Fire(
-            Commands(client.ObjectClient(url)),
+            Commands(client.ObjectClient(url, credentials=files)),
             command=arguments,
             name="sapphirelift",
             serialize=lambda value: (
--- a/sapphirelift/peers/records.py
+++ b/sapphirelift/peers/records.py
@@ -6,7 +6,8 @@
 
 Both directions are authenticated with the key of the settings: the replica
 contains the keyring record, and an instance that starts during an outage has
-no other key yet. Nothing is encrypted.
+no other key yet. With certificates the connection is also mutual TLS; without
+them nothing is encrypted.
 """
 
 import hmac
@@ -19,6 +20,7 @@
 import msgspec
 from eventlet import tpool
 
+from sapphirelift import credentials as credentials_module
 from sapphirelift import errors
 from sapphirelift import messages
 from sapphirelift.core import keys
@@ -80,6 +82,7 @@
         held: replica.Replica,
         *,
         key: bytes,
+        credentials: credentials_module.PeerCredentials | None = None,
     ) -> None:
         self._replica = held
         self._key = key
@@ -100,7 +103,12 @@
             )
         )
         try:
-            self._server.add_insecure_port(self._target)
+            if credentials is None:
+                self._server.add_insecure_port(self._target)
+            else:
+                self._server.add_secure_port(
+                    self._target, _server_credentials(credentials)
+                )
         except RuntimeError as error:
             raise errors.BindError(f"TCP {self._target}") from error
 
@@ -121,8 +129,52 @@
         return FetchReply(difference, _reply_mac(self._key, nonce, difference))
 
 
+def _server_credentials(
+    credentials: credentials_module.PeerCredentials,
+) -> grpc.ServerCredentials:
+    """Returns credentials that follow replaced certificate files."""
+
+    def configuration() -> grpc.ServerCertificateConfiguration:
+        files = credentials_module.read_peer(credentials)
+        return grpc.ssl_server_certificate_configuration(
+            [(files.key, files.certificate)], root_certificates=files.ca
+        )
+
+    def replaced() -> grpc.ServerCertificateConfiguration | None:
+        try:
+            return configuration()
+        except OSError:
+            return None  # The former certificates stay in use.
+
+    return grpc.dynamic_ssl_server_credentials(
+        configuration(), replaced, require_client_authentication=True
+    )
+
+
+def _channel(
+    target: str, credentials: credentials_module.PeerCredentials | None
+) -> grpc.Channel:
+    if credentials is None:
+        return grpc.insecure_channel(target, options=_OPTIONS)
+    try:
+        files = credentials_module.read_peer(credentials)
+    except OSError as error:
+        raise errors.FetchError(
+            f"cannot read peer_credentials: {error.strerror}"
+        ) from error
+    return grpc.secure_channel(
+        target,
+        grpc.ssl_channel_credentials(files.ca, files.key, files.certificate),
+        options=_OPTIONS,
+    )
+
+
 def fetch(
-    address: messages.Address, *, since: int, key: bytes
+    address: messages.Address,
+    *,
+    since: int,
+    key: bytes,
+    credentials: credentials_module.PeerCredentials | None = None,
 ) -> replica.Difference:
     """Fetches changes from another daemon; blocks only the calling task.
 
@@ -130,18 +182,21 @@
         FetchError: The other side did not answer in time, or with another
             key.
     """
-    return tpool.execute(_fetch_blocking, address, since, key)
+    return tpool.execute(_fetch_blocking, address, since, key, credentials)
 
 
 def _fetch_blocking(
-    address: messages.Address, since: int, key: bytes
+    address: messages.Address,
+    since: int,
+    key: bytes,
+    credentials: credentials_module.PeerCredentials | None,
 ) -> replica.Difference:
     target = f"{address.ip}:{address.port}"
     nonce = secrets.token_bytes(_NONCE_BYTES)
     request = FetchRequest(
         since, nonce, _request_mac(key, target, since, nonce)
     )
-    with grpc.insecure_channel(target, options=_OPTIONS) as channel:
+    with _channel(target, credentials) as channel:
         call = channel.unary_unary(
             f"/{_SERVICE}/{_METHOD}",
             request_serializer=msgspec.msgpack.encode,
--- a/sapphirelift/platform/client.py
+++ b/sapphirelift/platform/client.py
@@ -13,6 +13,7 @@
 import urllib3
 
 from sapphirelift import clock
+from sapphirelift import credentials as credentials_module
 from sapphirelift import errors
 from sapphirelift.core import backoff
 from sapphirelift.core import rate_limit
@@ -57,18 +58,28 @@
         name: str = "client",
         rng: random.Random | None = None,
         calls_per_s: float = CALLS_PER_S,
+        credentials: credentials_module.PlatformCredentials | None = None,
     ) -> None:
         self._base_url = base_url.rstrip("/")
         self._rng = rng or random.Random()
         self._bucket = rate_limit.TokenBucket(
             rate_per_s=calls_per_s, burst=BURST_CALLS
         )
+        self._credentials = (
+            credentials or credentials_module.PlatformCredentials()
+        )
+        tls: dict[str, Any] = {}
+        if self._base_url.lower().startswith("https://"):
+            tls["ssl_context"] = credentials_module.platform_context(
+                self._credentials
+            )
         self._pool = urllib3.PoolManager(
             retries=False,
             timeout=urllib3.Timeout(
                 connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S
             ),
             headers={"User-Agent": f"sapphirelift/{name}"},
+            **tls,
         )
         self.calls: collections.Counter[str] = collections.Counter()
         self.failures: collections.Counter[str] = collections.Counter()
@@ -246,12 +257,15 @@
                 method,
                 self._base_url + path,
                 json=body,
+                headers=self._headers(),
+                # A redirect could carry the token to another host.
+                redirect=False,
                 timeout=urllib3.Timeout(
                     connect=CONNECT_TIMEOUT_S, read=read_timeout_s
                 ),
             )
             answer = json.loads(response.data) if response.data else {}
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
+        except (urllib3.exceptions.HTTPError, ValueError, OSError) as error:
             raise self._failure(kind, type(error).__name__) from error
         except eventlet.Timeout as error:
             if error is not bound:
@@ -263,6 +277,13 @@
             raise self._failure(kind, f"status {response.status}")
         return response.status, answer
 
+    def _headers(self) -> dict[str, str]:
+        headers = dict(self._pool.headers)
+        if self._credentials.token_file:
+            token = credentials_module.read_token(self._credentials)
+            headers["Authorization"] = f"Bearer {token}"
+        return headers
+
     def _failure(
         self, kind: str, reason: str
     ) -> errors.PlatformUnavailableError:
--- a/sapphirelift/settings.py
+++ b/sapphirelift/settings.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from sapphirelift import credentials
 from sapphirelift import errors
 from sapphirelift import messages
 
@@ -80,6 +81,9 @@
         neighbours: Peer addresses asked for records when the platform is
             down at start.
         backend: The backend server, agents only.
+        platform_credentials: TLS files and bearer token for the platform.
+        peer_credentials: TLS files of record fetches between daemons; all
+            daemons have them or none.
     """
 
     name: str
@@ -92,6 +96,10 @@
     public: Endpoint | None = None
     neighbours: tuple[Endpoint, ...] = ()
     backend: BackendSettings | None = None
+    platform_credentials: credentials.PlatformCredentials = (
+        credentials.PlatformCredentials()
+    )
+    peer_credentials: credentials.PeerCredentials | None = None
     heartbeat_interval_ms: int = 1000
     stop_timeout_ms: int = 30_000
 
@@ -136,7 +144,12 @@
         return "correct the field named"
     known = [
         field
-        for struct in (Settings, BackendSettings, Endpoint)
+        for struct in (
+            Settings,
+            BackendSettings,
+            Endpoint,
+            credentials.PlatformCredentials,
+        )
         for field in struct.__struct_fields__
     ]
     similar = difflib.get_close_matches(unknown[1], known, n=1, cutoff=0.6)
@@ -167,6 +180,11 @@
             yield _problem(field, "use a duration above 0")
     if settings.backend is not None:
         yield from _backend_problems(settings.backend)
+    yield from credentials.problems(
+        settings.platform_url,
+        settings.platform_credentials,
+        settings.peer_credentials,
+    )
 
 
 def _backend_problems(
--- a/sapphirelift/standins/platform.py
+++ b/sapphirelift/standins/platform.py
@@ -2,11 +2,15 @@
 
 ``python -m sapphirelift.standins.platform PORT`` serves it. Faults are set
 by ``POST /faults`` with a JSON object, see ``Faults``; ``POST /restart``
-empties the store and starts it again at its lowest revision.
+empties the store and starts it again at its lowest revision. With
+``PLATFORM_CERTIFICATE`` and ``PLATFORM_KEY`` in the environment it serves
+TLS, with ``PLATFORM_CLIENT_CA`` it requires client certificates and with
+``PLATFORM_TOKEN`` a bearer token.
 """
 
 import collections
 import json
+import os
 import sys
 import urllib.parse
 from collections.abc import Callable
@@ -17,6 +21,7 @@
 import eventlet.event
 import eventlet.wsgi
 import msgspec
+from eventlet.green import ssl
 
 Prefixes = tuple[str, ...]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -144,8 +149,9 @@
 class PlatformApp:
     """WSGI application of the stand-in."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, token: str = "") -> None:
         self.store = ObjectStore()
+        self._token = token
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
         self._silent: set[str] = set()
@@ -161,6 +167,9 @@
 
     def _answer(self, environ: dict[str, Any]) -> tuple[str, Any]:
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        given = environ.get("HTTP_AUTHORIZATION", "")
+        if self._token and given != f"Bearer {self._token}":
+            return "401 Unauthorized", {}
         length = int(environ.get("CONTENT_LENGTH") or 0)
         body = environ["wsgi.input"].read(length) if length else b""
         query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
@@ -269,7 +278,18 @@
 def serve(port: int) -> None:
     """Serves the stand-in on a loopback port."""
     listener = eventlet.listen(("127.0.0.1", port))
-    eventlet.wsgi.server(listener, PlatformApp(), log_output=False)
+    app = PlatformApp(token=os.environ.get("PLATFORM_TOKEN", ""))
+    certificate = os.environ.get("PLATFORM_CERTIFICATE")
+    if certificate:
+        # eventlet.wrap_ssl ignores ``cert_reqs``, a context does not.
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(certificate, os.environ["PLATFORM_KEY"])
+        client_ca = os.environ.get("PLATFORM_CLIENT_CA")
+        if client_ca:
+            context.load_verify_locations(client_ca)
+            context.verify_mode = ssl.CERT_REQUIRED
+        listener = context.wrap_socket(listener, server_side=True)
+    eventlet.wsgi.server(listener, app, log_output=False)
 
 
 if __name__ == "__main__":
