Route nothing between a freeze and a comparison of revisions

Cause: the fast path of a balancer checked for a freeze only on OPEN, so packets of established flows that had queued in its socket during a freeze were forwarded by the withdrawals known before it. A socket in place of an agent of the withdrawn data centre saw 63 packets after the bound of 3 s. Ruled out: a stale record set of the neighbours; the packets arrived before any comparison was made.

Every caller datagram now takes the time and is dropped until a neighbour or the platform has confirmed the revision, for at most 3 s.

test_open_waits_after_freeze_but_flows_do_not asserted that established flows are forwarded while the records may be stale, which is the fault. Its replacement asserts that nothing is routed before the comparison and that flows are forwarded right after it, two further tests that a returned data centre's flow is not reset and that the wait is bounded.

--- a/sapphirelift/_balancer_node.py
+++ b/sapphirelift/_balancer_node.py
@@ -197,13 +197,15 @@
     def _on_caller_datagram(
         self, data: bytes, address: tuple[str, int]
     ) -> None:
-        packet = self.core.forward(data, address)
+        now_ms = clock.now_ms()
+        packet = self.core.forward(data, address, now_ms=now_ms)
         if packet is not None:
             self.peer.send(*packet)
             return
-        action = self.core.on_caller_datagram(
-            data, address, now_ms=clock.now_ms()
-        )
+        if self.core.freshness.gaps != self._epoch:
+            # Asks for the revision now and not at the watchdog's next turn.
+            self.current_epoch()
+        action = self.core.on_caller_datagram(data, address, now_ms=now_ms)
         match action:
             case actions.SendPeer(agent, datagram):
                 self.peer.send(datagram, agent)
--- a/sapphirelift/core/balancer.py
+++ b/sapphirelift/core/balancer.py
@@ -54,18 +54,19 @@
     ) -> actions.SendPeer | actions.SendCaller | None:
         """Routes one datagram of a caller.
 
-        A balancer that was frozen opens no flows before it has compared
-        its revision; the caller repeats its OPEN through another one.
+        A balancer that was frozen routes nothing before it has compared its
+        revision: its socket holds packets from the time of the freeze, and a
+        data centre may have left or returned since. Callers repeat what is
+        dropped, most of it through other balancers.
 
         Returns:
             What to send, or None if the datagram was dropped and counted.
         """
         try:
             header = wire.read_caller_header(data)
+            if not self.freshness.check(now_ms):
+                raise errors.DatagramError("stale_records")
             if header.kind == _Kind.OPEN:
-                self.freshness.observe(now_ms)
-                if not self.freshness.is_fresh(now_ms):
-                    raise errors.DatagramError("stale_records")
                 return self._route_open(data, caller)
             return self._route_flow(header, data, caller)
         except errors.DatagramError as error:
@@ -73,13 +74,15 @@
             return None
 
     def forward(
-        self, data: bytes, caller: tuple[str, int]
+        self, data: bytes, caller: tuple[str, int], *, now_ms: int
     ) -> forwarding.Packet | None:
         """Forwards a datagram of an established flow, the frequent case.
 
         Returns:
             None if ``on_caller_datagram`` is to decide.
         """
+        if not self.freshness.check(now_ms):
+            return None
         if self._forwarder.ring_version != self.ring.version:
             self._forwarder = forwarding.Forwarder(self.ring)
         packet = self._forwarder.forward(data, caller, self.withdrawn_ids)
@@ -172,9 +175,8 @@
         now_ms: int,
     ) -> actions.SendPeer | None:
         """Routes one datagram that came in on a service's own port."""
-        self.freshness.observe(now_ms)
         try:
-            if not self.freshness.is_fresh(now_ms):
+            if not self.freshness.check(now_ms):
                 raise errors.DatagramError("stale_records")
             action = self.plain.route(service, payload, caller, now_ms)
         except errors.DatagramError as error:
--- a/sapphirelift/core/freshness.py
+++ b/sapphirelift/core/freshness.py
@@ -30,12 +30,17 @@
         return True
 
     def is_fresh(self, now_ms: int) -> bool:
-        """Tells whether flows may be opened."""
+        """Tells whether packets may be routed by the records in force."""
         since_ms = self._stale_since_ms
         if since_ms is not None and now_ms - since_ms >= COMPARE_TIMEOUT_MS:
             self._stale_since_ms = None
         return self._stale_since_ms is None
 
+    def check(self, now_ms: int) -> bool:
+        """Takes the time of a packet; tells whether it may be routed."""
+        self.observe(now_ms)
+        return self.is_fresh(now_ms)
+
     def compared(self) -> None:
         """Notes that another process or the platform has confirmed us."""
         self._stale_since_ms = None
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -44,7 +44,10 @@
         data = datagram()
         body = wire.encode_forward(CALLER, data)
         expected = wire.encode_peer(messages.Kind.FORWARD, body, RING)
-        assert make_core().forward(data, CALLER) == (expected, ("10.0.0.2", 9))
+        assert make_core().forward(data, CALLER, now_ms=0) == (
+            expected,
+            ("10.0.0.2", 9),
+        )
 
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
     @hypothesis.given(
@@ -59,7 +62,7 @@
         data[index] = value
         forged = bytes(data[: len(data) - cut])
         core = make_core()
-        fast = core.forward(forged, CALLER)
+        fast = core.forward(forged, CALLER, now_ms=0)
         slow = core.on_caller_datagram(forged, CALLER, now_ms=0)
         if fast is None:
             assert not isinstance(slow, actions.SendPeer)
@@ -74,37 +77,57 @@
             members=membership.Membership(),
             ring=ring,
         )
-        assert core.forward(datagram(), CALLER) is not None
+        assert core.forward(datagram(), CALLER, now_ms=0) is not None
         ring.use(1)
-        forwarded = core.forward(datagram(), CALLER)
+        forwarded = core.forward(datagram(), CALLER, now_ms=0)
         assert forwarded is not None
         assert wire.decode_peer(forwarded[0], keys.KeyRing(1, {1: b"b" * 32}))
         ring.replace({1: b"b" * 32})
-        assert core.forward(datagram(), CALLER) is None
+        assert core.forward(datagram(), CALLER, now_ms=0) is None
 
     def test_withdrawn_data_centre_twice(self) -> None:
         """Guards against packets into a withdrawn data centre."""
         core = make_core()
         for _ in range(2):
             core.set_withdrawn({"etela-a"})
-            assert core.forward(datagram(), CALLER) is None
+            assert core.forward(datagram(), CALLER, now_ms=0) is None
             answer = core.on_caller_datagram(datagram(), CALLER, now_ms=0)
             assert isinstance(answer, actions.SendCaller)
             reset = wire.decode_caller(answer.data)
             assert reset.body == messages.Reset("data_centre_withdrawn")
             core.set_withdrawn(set())
-            assert core.forward(datagram(), CALLER) is not None
+            assert core.forward(datagram(), CALLER, now_ms=0) is not None
 
-    def test_open_waits_after_freeze_but_flows_do_not(self) -> None:
-        """Guards against opens by old records and against lost packets."""
+    def test_nothing_is_routed_between_freeze_and_comparison(self) -> None:
+        """Guards against packets routed by records from before a freeze."""
         core = make_core()
         opening = wire.encode_caller(
             messages.Kind.OPEN, KEY, messages.Open("pakkaamo", 0)
         )
-        core.on_caller_datagram(opening, CALLER, now_ms=0)
-        assert core.on_caller_datagram(opening, CALLER, now_ms=9000) is None
-        assert core.counters["dropped_stale_records"] == 1
-        assert core.forward(datagram(), CALLER) is not None
+        assert core.forward(datagram(), CALLER, now_ms=0) is not None
+        for data in (opening, datagram()):
+            assert core.forward(data, CALLER, now_ms=9000) is None
+            assert core.on_caller_datagram(data, CALLER, now_ms=9000) is None
+        assert core.counters["dropped_stale_records"] == 2
         core.freshness.compared()
+        assert core.forward(datagram(), CALLER, now_ms=9001) is not None
         answer = core.on_caller_datagram(opening, CALLER, now_ms=9001)
         assert isinstance(answer, actions.SendCaller)
+
+    def test_flow_of_a_returned_data_centre_is_not_reset(self) -> None:
+        """Guards against a RESET by a withdrawal that a freeze outlived."""
+        core = make_core()
+        core.freshness.observe(0)
+        core.set_withdrawn({"etela-a"})
+        assert core.on_caller_datagram(datagram(), CALLER, now_ms=9000) is None
+        core.set_withdrawn(set())
+        core.freshness.compared()
+        assert core.forward(datagram(), CALLER, now_ms=9001) is not None
+
+    def test_flows_wait_no_longer_than_the_time_limit(self) -> None:
+        """Guards against flows held for ever with nobody to compare with."""
+        core = make_core()
+        assert core.forward(datagram(), CALLER, now_ms=0) is not None
+        for now_ms in range(9000, 12_000, 500):
+            assert core.forward(datagram(), CALLER, now_ms=now_ms) is None
+        assert core.forward(datagram(), CALLER, now_ms=12_000) is not None
