Close a left flow again when its agent asks to move it

Cause: a caller sends CLOSE once. When it is lost with a killed balancer, a draining agent keeps the flow and waits for its stop timeout of 30 s. With 300 flows and a balancer killed during the drain, the agent exited 30 s after SIGTERM and 7 s or less with this change: a MOVE for a flow that the caller has closed or forgotten is answered with CLOSE. Ruled out: requests still running at the agent (all had been answered 23 s before its exit).

--- a/sapphirelift/core/caller.py
+++ b/sapphirelift/core/caller.py
@@ -319,8 +319,12 @@
     # Datagrams.
 
     def _on_foreign(self, datagram: wire.CallerDatagram) -> None:
-        """Closes a flow that was accepted for a caller that left it."""
-        if datagram.kind == _Kind.ACCEPT:
+        """Closes a flow that the caller has left or never wanted.
+
+        An agent that drains repeats MOVE until the flow is closed. A CLOSE
+        lost with a balancer would otherwise hold up its stop.
+        """
+        if datagram.kind in (_Kind.ACCEPT, _Kind.MOVE):
             self._out.append(
                 SendDatagram(
                     wire.encode_caller(
@@ -352,7 +356,10 @@
             case _Kind.PONG:
                 pass
             case _Kind.MOVE:
-                self._on_move(flow, now_ms)
+                if flow.closing_ms is not None:
+                    self._on_foreign(datagram)
+                else:
+                    self._on_move(flow, now_ms)
             case _Kind.RESET:
                 if flow.closing_ms is None:
                     self._lose_flow(flow, datagram.body.reason, now_ms)
