Report a refused retry of a request that may have run as unknown

Cause: when a flow is lost, a caller sends an idempotent request again. If the second attempt was refused, the outcome was NotRun although the first attempt had run. Ruled out: a refusal by the agent that ran the request.

The outcome is now Unknown if an earlier attempt was on a lost flow. The test of this order of events failed before and passes now, and so do 300 examples of the state machine.

--- a/sapphirelift/core/caller.py
+++ b/sapphirelift/core/caller.py
@@ -104,6 +104,7 @@
     sender: transfer.FragmentSender | None = None
     receiver: transfer.FragmentReceiver | None = None
     not_before_ms: int = 0
+    may_have_run: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -518,7 +519,8 @@
     def _on_lost_request(
         self, request: _Request, reason: str, now_ms: int
     ) -> None:
-        """Decides on a request whose flow is gone."""
+        """Decides on a request whose flow is gone; it may have run there."""
+        request.may_have_run = True
         if request.idempotent and self._may_retry(request, now_ms):
             self._retry(request, now_ms)
         else:
@@ -553,6 +555,13 @@
             self._finish(request, outcomes.Unknown(reason))
 
     def _finish(self, request: _Request, outcome: outcomes.Outcome) -> None:
+        """Ends a request.
+
+        A refusal speaks for the last attempt only; an earlier one may have
+        run on a flow that was lost.
+        """
+        if request.may_have_run and isinstance(outcome, outcomes.NotRun):
+            outcome = outcomes.Unknown(outcome.reason)
         self._requests.pop(request.request_id, None)
         self._by_wire_id.pop(request.wire_id, None)
         self.counters[f"requests_{type(outcome).__name__.lower()}"] += 1
