--- a/sapphirelift/core/limits.py
+++ b/sapphirelift/core/limits.py
@@ -41,6 +41,8 @@
     drain_silence_ms: int = 5000
     move_within_ms: int = 10_000
     move_repeat_ms: int = 500
+    key_move_interval_ms: int = 500
+    key_move_repeat_ms: int = 10_000
 
 
 # Limits that records can set, by the name of the field in the records.
@@ -73,5 +75,3 @@
         if source[field] != "default"
     }
     return settings._replace(**changes)
-    key_move_interval_ms: int = 500
-    key_move_repeat_ms: int = 10_000
