--- a/sapphirelift/operators/cli.py
+++ b/sapphirelift/operators/cli.py
@@ -289,9 +289,7 @@
     """Runs one command and returns the exit status."""
     arguments = list(arguments)
     if arguments[:1] == ["bench"]:
-        from sapphirelift.bench import cli as bench_cli
-
-        return bench_cli.run(arguments[1:])
+        return _run_bench(arguments[1:])
     if arguments[:1] == ["demo"]:
         from sapphirelift import demo
 
@@ -325,6 +323,23 @@
     return 0
 
 
+def _run_bench(arguments: list[str]) -> int:
+    """Runs a command of the bench, whose ``--output`` names a file."""
+    from sapphirelift.bench import commands
+
+    try:
+        fire.Fire(
+            commands.Bench(), command=arguments, name="sapphirelift bench"
+        )
+    except errors.SapphireliftError as error:
+        return _fail(error, INPUT_STATUS)
+    except fire.core.FireExit as error:
+        return error.code
+    except KeyboardInterrupt:
+        return REFUSED_STATUS
+    return 0
+
+
 def _fail(error: errors.SapphireliftError, status: int) -> int:
     print(f"sapphirelift: {error}", file=sys.stderr)
     return status
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -164,3 +164,19 @@
         done = Tool(tmp_path, "http://127.0.0.1:1").run("list", "service")
         assert done.returncode == 3
         assert done.stderr.count("\n") == 1
+
+
+class TestBenchCommand:
+    """``sapphirelift bench``, which needs no platform."""
+
+    def test_bench_starts_from_the_command_line(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a command line that cannot load the bench."""
+        tool = Tool(tmp_path, "http://127.0.0.1:9")
+        listed = tool.run("bench", "list")
+        assert listed.returncode == 0, listed.stderr
+        assert "slow_caller" in listed.stdout
+        unknown = tool.run("bench", "run", "no-such-scenario")
+        assert unknown.returncode == 2
+        assert "Traceback" not in unknown.stderr
