Compare the load policy with baselines in the bench

Agents take a baseline from settings named experiment_placement and experiment_forgets_replies, which are documented as being for measurements only.

The new scenario late_duplicates repeats and delays a fifth of the packets between callers and balancers by the fault proxy.

--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -49,17 +49,34 @@
                 reply_cache_bytes=backend.reply_cache_bytes,
                 reply_cache_ttl_ms=backend.reply_cache_ttl_ms,
                 assembly_bytes=backend.assembly_bytes,
+                experiment_forgets_replies=backend.experiment_forgets_replies,
             ),
             ring=self.ring,
             members=self.members,
             rng=self.rng,
         )
+        if backend.experiment_placement:
+            self._use_baseline(backend)
         self._backend = backend_client.BackendClient(
             messages.Address(backend.ip, backend.port), slots=backend.slots
         )
         self._events: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
         self._runs: dict[int, eventlet.greenthread.GreenThread] = {}
 
+    def _use_baseline(self, backend: settings_module.BackendSettings) -> None:
+        """Replaces the placement by a baseline of the bench."""
+        # Only measurements need the bench's modules.
+        from sapphirelift.bench import baselines
+
+        self.core.balance.table = baselines.BASELINES[
+            backend.experiment_placement
+        ](
+            name=self.settings.name,
+            service=backend.service,
+            members=self.members,
+            rng=self.rng,
+        )
+
     @property
     def load(self) -> float:
         """Busy share of the admission limit, 0 to 1."""
--- a/sapphirelift/bench/baselines.py
+++ b/sapphirelift/bench/baselines.py
@@ -60,7 +60,7 @@
 
 BASELINES: dict[str, type[load.LoadTable]] = {
     "random": Random,
-    "round robin": RoundRobin,
-    "plain hash": PlainHash,
-    "least loaded, stale": LeastLoadedStale,
+    "round_robin": RoundRobin,
+    "plain_hash": PlainHash,
+    "least_loaded_stale": LeastLoadedStale,
 }
--- a/sapphirelift/bench/commands.py
+++ b/sapphirelift/bench/commands.py
@@ -6,6 +6,7 @@
 
 from sapphirelift import errors
 from sapphirelift.bench import forwarding
+from sapphirelift.bench import policies
 from sapphirelift.bench import report as report_module
 from sapphirelift.bench import runner
 from sapphirelift.bench import scenarios
@@ -32,6 +33,7 @@
         size: str = "pihlajakoti",
         duration_s: float = 20.0,
         logs: str | None = None,
+        policy: str = "product",
     ) -> str:
         """Runs a scenario and prints its figures beside the bounds.
 
@@ -42,6 +44,9 @@
             size: ``dune-works`` or ``pihlajakoti``.
             duration_s: Measured time.
             logs: Existing directory for the processes' logs.
+            policy: ``product``, or a baseline to compare it with: random,
+                round_robin, plain_hash, least_loaded_stale, no_ramp,
+                no_retry_budget or no_reply_cache.
         """
         if name == forwarding.NAME:
             result = runner.run_forwarding(seed=seed, duration_s=duration_s / 4)
@@ -55,12 +60,18 @@
             raise errors.RecordError(
                 f"no size {size}", remedy=f"use one of {', '.join(sizes.SIZES)}"
             )
+        if policy not in policies.POLICIES:
+            raise errors.RecordError(
+                f"no policy {policy}",
+                remedy=f"use one of {', '.join(policies.POLICIES)}",
+            )
         result = runner.run(
             scenario,
             size=sizes.SIZES[size],
             seed=seed,
             duration_s=duration_s,
             directory=pathlib.Path(logs) if logs else None,
+            policy=policies.POLICIES[policy],
         )
         return _save(result, output)
 
--- a/sapphirelift/bench/experiment.py
+++ b/sapphirelift/bench/experiment.py
@@ -7,6 +7,7 @@
 import threading
 import time
 import urllib.request
+from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
 
@@ -15,6 +16,7 @@
 from sapphirelift.bench import judge
 from sapphirelift.bench import load
 from sapphirelift.bench import monitor
+from sapphirelift.bench import policies
 from sapphirelift.bench import sizes
 from sapphirelift.platform import client
 
@@ -58,9 +60,17 @@
     """Processes of one run, with the changes that scenarios make."""
 
     def __init__(
-        self, *, size: sizes.Size, seed: int, directory: pathlib.Path
+        self,
+        *,
+        size: sizes.Size,
+        seed: int,
+        directory: pathlib.Path,
+        policy: policies.Policy = policies.PRODUCT,
+        faults: Mapping[str, float] | None = None,
     ) -> None:
         self.size = size
+        self._policy = policy
+        self._faults = faults
         self.seed = seed
         self.directory = directory
         self.fleet = fleet_module.Fleet(directory)
@@ -158,6 +168,7 @@
                     "fabric": str(self.directory / "fabric.json"),
                     "output": str(self.directory / f"{name}.jsonl"),
                     "work_ms": WORK_MS,
+                    "has_retry_budget": self._policy.has_retry_budget,
                 }
                 | values
             )
@@ -346,13 +357,23 @@
                 if other != name and other in self.fleet.peer_ports
             ],
         )
+        if self._faults is not None:
+            proxy = f"{name}-proxy"
+            self.monitor.entries[name] = self.fleet.start_fault_proxy(
+                proxy,
+                target=self.fleet.public[name],
+                kind="udp",
+                seed=self.seed,
+            )
+            self.fleet.set_faults(proxy, **self._faults)
 
     def _start_agent(self, target: Target, *, is_cold: bool = False) -> None:
         self.fleet.start_agent(
             target.name,
             service=target.service,
             slots=self.size.slots,
-            ramp_ms=RAMP_MS,
+            ramp_ms=RAMP_MS if self._policy.has_ramp else 0,
+            experiment=self._policy.backend_settings(),
             backend=self._backend_options(target, is_cold=is_cold),
             data_centre=target.data_centre,
         )
--- a/sapphirelift/bench/fleet.py
+++ b/sapphirelift/bench/fleet.py
@@ -132,6 +132,7 @@
         slots: int = 4,
         ramp_ms: int = 0,
         backend: dict[str, Any] | None = None,
+        experiment: dict[str, Any] | None = None,
         **extra: Any,
     ) -> None:
         """Starts a backend server stand-in and its agent."""
@@ -146,7 +147,8 @@
                 "service": service,
                 "slots": slots,
                 "ramp_ms": ramp_ms,
-            },
+            }
+            | (experiment or {}),
             **extra,
         )
 
--- a/sapphirelift/bench/load.py
+++ b/sapphirelift/bench/load.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import math
 import os
 import pathlib
 import random
@@ -22,6 +23,7 @@
 from sapphirelift.callers import client
 from sapphirelift.core import caller as caller_core
 from sapphirelift.core import outcomes
+from sapphirelift.core import retries
 
 FABRIC_POLL_S = 0.05
 SHORT_FLOW_S = 3.0
@@ -46,6 +48,7 @@
         work_ms: Time that a request takes at its backend server.
         is_closed_loop: Each session waits for its answer before it sends
             the next request; ``rates`` then has no effect.
+        has_retry_budget: Whether callers retry within a budget.
         starts_at_phase: Phase of the fabric in which the load begins.
     """
 
@@ -60,6 +63,7 @@
     callers: int = 4
     is_closed_loop: bool = False
     starts_at_phase: int = 0
+    has_retry_budget: bool = True
 
 
 class Fabric:
@@ -124,8 +128,13 @@
                 eventlet.sleep(FABRIC_POLL_S)
 
     def _new_caller(self, number: int) -> client.Caller:
+        budget = retries.RetryBudget()
+        if not self.options.has_retry_budget:
+            budget = retries.RetryBudget(ratio=1.0, burst=math.inf)
         one = client.Caller(
-            self.fabric.balancers, seed=self.rng.randrange(1 << 30)
+            self.fabric.balancers,
+            seed=self.rng.randrange(1 << 30),
+            budget=budget,
         )
 
         def on_notice(notice: caller_core.Notice) -> None:
--- a/sapphirelift/bench/monitor.py
+++ b/sapphirelift/bench/monitor.py
@@ -10,6 +10,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from sapphirelift import messages
 from sapphirelift.bench import fleet as fleet_module
 
 HEALTH_INTERVAL_S = 0.25
@@ -61,6 +62,8 @@
             "is_stopped": False,
         }
         self.samples: list[Sample] = []
+        # Addresses that callers use in place of a balancer's own.
+        self.entries: dict[str, messages.Address] = {}
 
     def start(self) -> None:
         """Starts both threads."""
@@ -86,7 +89,7 @@
         names = list(self._fleet.public)
         ready = self._pool.map(self._is_ready, names)
         addresses = [
-            list(self._fleet.public[name])
+            list(self.entries.get(name, self._fleet.public[name]))
             for name, is_ready in zip(names, ready, strict=True)
             if is_ready
         ]
--- /dev/null
+++ b/sapphirelift/bench/policies.py
@@ -0,0 +1,52 @@
+"""Policies that a scenario can run under: the product and its baselines.
+
+A baseline changes one part of the product. Agents take it from settings whose
+names begin with ``experiment_``, which exist for measurements only.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """One way to place, ramp, retry and remember requests.
+
+    Attributes:
+        placement: A baseline of ``baselines.BASELINES``; empty for the
+            product's own placement.
+        has_ramp: Whether agents ramp up after a start.
+        has_retry_budget: Whether callers retry within a budget.
+        has_reply_cache: Whether agents remember requests whose response has
+            been acknowledged.
+    """
+
+    name: str
+    placement: str = ""
+    has_ramp: bool = True
+    has_retry_budget: bool = True
+    has_reply_cache: bool = True
+
+    def backend_settings(self) -> dict[str, object]:
+        """Returns the experiment settings of an agent."""
+        settings: dict[str, object] = {}
+        if self.placement:
+            settings["experiment_placement"] = self.placement
+        if not self.has_reply_cache:
+            settings["experiment_forgets_replies"] = True
+        return settings
+
+
+PRODUCT = Policy("product")
+POLICIES = {
+    policy.name: policy
+    for policy in (
+        PRODUCT,
+        Policy("random", placement="random"),
+        Policy("round_robin", placement="round_robin"),
+        Policy("plain_hash", placement="plain_hash"),
+        Policy("least_loaded_stale", placement="least_loaded_stale"),
+        Policy("no_ramp", has_ramp=False),
+        Policy("no_retry_budget", has_retry_budget=False),
+        Policy("no_reply_cache", has_reply_cache=False),
+    )
+}
--- a/sapphirelift/bench/runner.py
+++ b/sapphirelift/bench/runner.py
@@ -7,6 +7,7 @@
 
 from sapphirelift.bench import experiment
 from sapphirelift.bench import forwarding
+from sapphirelift.bench import policies
 from sapphirelift.bench import results
 from sapphirelift.bench import scenarios
 from sapphirelift.bench import sizes
@@ -28,6 +29,7 @@
     seed: int,
     duration_s: float,
     directory: pathlib.Path | None = None,
+    policy: policies.Policy = policies.PRODUCT,
 ) -> dict[str, Any]:
     """Runs a scenario and returns its result as it is saved.
 
@@ -37,13 +39,18 @@
         seed: Seed of the load generators.
         duration_s: Measured time, without start, warm-up and end.
         directory: Place for logs; a temporary one if None.
+        policy: The product, or a baseline to compare it with.
     """
     with tempfile.TemporaryDirectory(prefix="sapphirelift-bench-") as path:
         one = experiment.Experiment(
-            size=size, seed=seed, directory=directory or pathlib.Path(path)
+            size=size,
+            seed=seed,
+            directory=directory or pathlib.Path(path),
+            policy=policy,
+            faults=scenario.faults,
         )
         try:
-            return _run(one, scenario, duration_s)
+            return _run(one, scenario, duration_s) | {"policy": policy.name}
         finally:
             one.close()
 
--- a/sapphirelift/bench/scenarios.py
+++ b/sapphirelift/bench/scenarios.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import Callable
+from collections.abc import Mapping
 
 from sapphirelift.bench import experiment
 from sapphirelift.bench import results
@@ -36,6 +37,8 @@
         slow_target_speed: Speed of the first target of the first service.
         slow_callers: Whether a slow caller joins at phase 1.
         deadline_ms: Deadline of the requests.
+        faults: Faults of the packets between callers and balancers, see
+            ``fault_proxy.Faults``.
     """
 
     name: str
@@ -46,6 +49,7 @@
     slow_target_speed: float = 1.0
     slow_callers: bool = False
     deadline_ms: int = 5000
+    faults: Mapping[str, float] | None = None
 
 
 def _write(run: _Experiment) -> None:
@@ -130,6 +134,13 @@
         steps=(Step(0.5, lambda run: run.set_rate(2.0)), Step(0.7, _write)),
         bounds=(_Bound("goodput_ratio", ">=", 0.9),),
     ),
+    Scenario(
+        "late_duplicates",
+        "a fifth of the callers' packets is repeated, a fifth is late",
+        utilisation=0.4,
+        steps=_WRITES,
+        faults={"duplicate": 0.2, "reorder": 0.2, "reorder_ms": 400.0},
+    ),
     Scenario(
         "platform_outage",
         "the platform is down for half of the run, a balancer starts then",
--- a/sapphirelift/core/limits.py
+++ b/sapphirelift/core/limits.py
@@ -13,6 +13,8 @@
             flow may use a quarter.
         assembly_timeout_ms: Time without a new fragment after which an
             incomplete request expires.
+        experiment_forgets_replies: Forgets finished requests, which breaks
+            at-most-once execution; for measurements only.
     """
 
     slots: int = 4
@@ -30,3 +32,4 @@
     flow_idle_timeout_ms: int = 60_000
     move_within_ms: int = 10_000
     move_repeat_ms: int = 500
+    experiment_forgets_replies: bool = False
--- a/sapphirelift/core/replies.py
+++ b/sapphirelift/core/replies.py
@@ -72,3 +72,26 @@
         flow.requests.pop(state.request_id, None)
         flow.forgotten_id = max(flow.forgotten_id, state.request_id)
         return state
+
+
+class ForgetfulReplies(ReplyCache):
+    """Baseline for measurements: nothing is remembered once acknowledged.
+
+    A request that arrives again after that is taken for a new one.
+    """
+
+    def expire(self, now_ms: int) -> list[flows.RequestState]:
+        """Forgets what has been acknowledged or is too old."""
+        acknowledged = [
+            key
+            for key, (_, state, _) in self._entries.items()
+            if state.sender is not None and state.sender.is_done
+        ]
+        forgotten = [self._evict(key) for key in acknowledged]
+        return forgotten + super().expire(now_ms)
+
+    def _evict(self, key: tuple[bytes, int]) -> flows.RequestState:
+        flow, state, size = self._entries.pop(key)
+        self.bytes -= size
+        flow.requests.pop(state.request_id, None)
+        return state
--- a/sapphirelift/core/requests.py
+++ b/sapphirelift/core/requests.py
@@ -79,7 +79,12 @@
             )
         )
         self._assembling: dict[tuple[bytes, int], flows.RequestState] = {}
-        self._replies = replies.ReplyCache(
+        cache = (
+            replies.ForgetfulReplies
+            if limits.experiment_forgets_replies
+            else replies.ReplyCache
+        )
+        self._replies = cache(
             max_bytes=limits.reply_cache_bytes,
             ttl_ms=limits.reply_cache_ttl_ms,
             per_flow=limits.replies_per_flow,
--- a/sapphirelift/settings.py
+++ b/sapphirelift/settings.py
@@ -47,6 +47,10 @@
         reply_cache_bytes: Bytes of finished requests kept for repetition.
         reply_cache_ttl_ms: Time in milliseconds for which they are kept.
         assembly_bytes: Bytes of requests that have not been started.
+        experiment_placement: Placement of flows and requests by a baseline of
+            the bench; for measurements only, never for service.
+        experiment_forgets_replies: Runs repeated requests again, which breaks
+            at-most-once execution; for measurements only, never for service.
     """
 
     ip: str
@@ -62,6 +66,10 @@
     reply_cache_bytes: int = 16 << 20
     reply_cache_ttl_ms: int = 30_000
     assembly_bytes: int = 32 << 20
+    experiment_placement: Literal[
+        "", "random", "round_robin", "plain_hash", "least_loaded_stale"
+    ] = ""
+    experiment_forgets_replies: bool = False
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -2,8 +2,13 @@
 
 import pathlib
 
+import msgspec
+
+from sapphirelift import settings
+from sapphirelift.bench import baselines
 from sapphirelift.bench import forwarding
 from sapphirelift.bench import judge
+from sapphirelift.bench import policies
 from sapphirelift.bench import report
 from sapphirelift.bench import runner
 from sapphirelift.bench import scenarios
@@ -159,3 +164,24 @@
         assert result["figures"]["forwarded_per_s"] > 0
         assert result["figures"]["relay_per_s"] > 0
         assert len(result["bounds"]) == 2
+
+
+class TestPolicies:
+    """Baselines that a scenario can run under."""
+
+    def test_agent_settings_know_every_baseline(self) -> None:
+        """Guards against a comparison in which an agent fails to start."""
+        for policy in policies.POLICIES.values():
+            backend = {"ip": "127.0.0.1", "port": 1, "service": "s"}
+            backend |= policy.backend_settings()
+            made = msgspec.convert(backend, settings.BackendSettings)
+            assert made.experiment_placement == policy.placement
+            if policy.placement:
+                assert policy.placement in baselines.BASELINES
+
+    def test_service_runs_without_experiments(self) -> None:
+        """Guards against a baseline as the default of the product."""
+        made = settings.BackendSettings("127.0.0.1", 1, "s")
+        assert made.experiment_placement == ""
+        assert not made.experiment_forgets_replies
+        assert policies.PRODUCT.backend_settings() == {}
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -269,3 +269,15 @@
             harness.send_fragment(request_id)
             harness.finish(harness.runs[0], ANSWER)
         assert len(harness.answers) == 100
+
+    def test_forgetful_baseline_runs_late_duplicates_again(self) -> None:
+        """Guards against a comparison whose baseline remembers replies."""
+        for forgets, runs in ((False, 1), (True, 2)):
+            harness = Harness(experiment_forgets_replies=forgets)
+            harness.send_fragment(1)
+            harness.finish(harness.runs[0], ANSWER)
+            ack = messages.FragmentAck(1, b"\xff")
+            harness.send(KIND.RESPONSE_ACK, ack)
+            harness.pass_time(500)
+            harness.send_fragment(1)
+            assert harness.started[1] == runs
