Compare agents by the use of what their admission allows

Cause: transfers compared the busy share of all slots. An agent that ramps up looked idle, so all peers sent requests to it, several times what its ramp allowed, and they waited there: p99 rose to 200-300 ms three seconds after a data centre had returned, and to 4,858 ms after a backend server had become cold.

Ruled out: preferring peers with two free slots (tried, reverted).

Change: utilisation is divided by the admission limit, here and at peers.

Two new tests failed before the change.

--- a/sapphirelift/core/load.py
+++ b/sapphirelift/core/load.py
@@ -26,6 +26,8 @@
 # left more imbalance and saved few transfers.
 RELATIVE_MARGIN = 0.02
 ABSOLUTE_MARGIN = 0.005
+# An agent at the start of its ramp admits less than one request at a time.
+MIN_LIMIT = 0.1
 
 
 class Own(NamedTuple):
@@ -39,6 +41,11 @@
     flows: int
     slots: int
 
+    @property
+    def use(self) -> float:
+        """Utilisation of what admission allows."""
+        return _use(self.utilisation, self.slots, self.limit)
+
 
 class Meter:
     """Exponentially smoothed busy share of all slots."""
@@ -81,15 +88,20 @@
         return report.limit - taken
 
     @property
-    def utilisation(self) -> float:
-        """Utilisation with the open requests sent since the report.
+    def use(self) -> float:
+        """Utilisation of what admission allows, with open requests.
 
-        Counting ended requests too kept requests at the busiest agent: one
-        short request was taken for a whole report interval of work.
+        By utilisation of all slots, agents that had just returned looked idle
+        and got several times what their ramp allowed. Counting ended requests
+        too kept requests at the busiest agent: one short request was taken
+        for a whole report interval of work.
         """
         share = REPORT_INTERVAL_MS / UTILISATION_TIME_MS
         slots = max(self.report.slots, 1)
-        return self.report.utilisation + share * self.requests_open / slots
+        utilisation = (
+            self.report.utilisation + share * self.requests_open / slots
+        )
+        return _use(utilisation, slots, self.report.limit)
 
     @property
     def flows_per_slot(self) -> float:
@@ -173,7 +185,7 @@
         ]
         if not options:
             return None
-        best = min(options, key=lambda p: (p.flows_per_slot, p.utilisation))
+        best = min(options, key=lambda p: (p.flows_per_slot, p.use))
         here = own.flows / own.slots
         there = best.flows_per_slot
         one_flow = 1 / max(best.report.slots, 1)
@@ -194,17 +206,17 @@
         if not peers:
             return None
         is_free = own.busy + own.queued < own.limit
-        mean = sum(peer.utilisation for peer in peers) / len(peers)
-        if is_free and own.utilisation <= _with_margin(mean):
+        mean = sum(peer.use for peer in peers) / len(peers)
+        if is_free and own.use <= _with_margin(mean):
             return None
         options = [peer for peer in peers if peer.free >= 1]
         if not options:
             return self._shorter_queue(own, peers)
         pair = self._rng.sample(options, min(2, len(options)))
-        best = min(pair, key=lambda peer: peer.utilisation)
-        if is_free and own.utilisation <= _with_margin(best.utilisation):
+        best = min(pair, key=lambda peer: peer.use)
+        if is_free and own.use <= _with_margin(best.use):
             return None
-        if best.utilisation > _with_margin(own.utilisation):
+        if best.use > _with_margin(own.use):
             return None
         best.request_sent()
         return best
@@ -217,7 +229,7 @@
         """
         pair = self._rng.sample(peers, min(2, len(peers)))
         best = max(pair, key=lambda peer: peer.free)
-        is_below = own.utilisation > _with_margin(best.utilisation)
+        is_below = own.use > _with_margin(best.use)
         here = own.limit - own.busy - own.queued
         if best.report.limit < 1 or best.free < here + (0 if is_below else 2):
             return None
@@ -225,6 +237,10 @@
         return best
 
 
+def _use(utilisation: float, slots: int, limit: float) -> float:
+    return utilisation * slots / max(limit, MIN_LIMIT)
+
+
 def _with_margin(utilisation: float) -> float:
     return utilisation * (1 + RELATIVE_MARGIN) + ABSOLUTE_MARGIN
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -163,6 +163,20 @@
             made = table(full, cold, seed=seed)
             assert made.place_request(own(busy=4), NOW_MS) is None
 
+    def test_ramping_peer_is_measured_by_its_limit(self) -> None:
+        """Guards against all agents sending to one that has just returned."""
+        ramping = table(report("agent-1", limit=1.0, utilisation=0.2))
+        here = own(busy=1, utilisation=0.5)
+        assert ramping.place_request(here, NOW_MS) is None
+        warm = table(report("agent-1", utilisation=0.2))
+        assert warm.place_request(here, NOW_MS) is not None
+
+    def test_own_ramp_counts_too(self) -> None:
+        """Guards against a queue at an agent that has just returned."""
+        made = table(report("agent-1", utilisation=0.4))
+        here = own(limit=1.0, busy=0, utilisation=0.2)
+        assert made.place_request(here, NOW_MS) is not None
+
     def test_requests_sent_since_the_report_count(self) -> None:
         """Guards against herding on the peer that was idle."""
         made = table(report("agent-1"))
