Report ports that cannot be opened; raise the shortest idle timeout

A record could set flows.idle_timeout_ms to 1000, the interval of the callers' pings, so that one late ping closed the flow. The least value is 10 s now, above the 6 s after which a caller gives a silent flow up.

--- a/sapphirelift/_balancer_node.py
+++ b/sapphirelift/_balancer_node.py
@@ -203,10 +203,12 @@
             yield status.Condition(
                 "backend_server_drained", agent, "drained by its record"
             )
-        for service, reason in self.tcp_ports.failed.items():
-            yield status.Condition(
-                "tcp_port_not_opened", f"{name} {service}", reason
-            )
+        for kind, failed in (
+            ("tcp_port_not_opened", self.tcp_ports.failed),
+            ("datagram_port_not_opened", self.plain_ports.failed),
+        ):
+            for service, reason in failed.items():
+                yield status.Condition(kind, f"{name} {service}", reason)
         if self.sync.watch_silent:
             yield status.Condition(
                 "platform_watch_silent", name, "no answer to the last watch"
--- a/sapphirelift/callers/plain_ports.py
+++ b/sapphirelift/callers/plain_ports.py
@@ -12,16 +12,22 @@
 
 
 class PlainPorts:
-    """Opens and closes the datagram ports as records come into force."""
+    """Opens and closes the datagram ports as records come into force.
+
+    Attributes:
+        failed: Reason by service, for ports that could not be opened.
+    """
 
     def __init__(self, ip: str, handler: Handler) -> None:
         self._ip = ip
         self._handler = handler
         self._open: dict[str, endpoint.Endpoint] = {}
-        self._failed: dict[str, int] = {}
+        self.failed: dict[str, str] = {}
 
     def update(self, wanted: dict[str, int]) -> None:
         """Opens the ports that are missing and closes those left over."""
+        for service in [s for s in self.failed if s not in wanted]:
+            del self.failed[service]
         for service, opened in list(self._open.items()):
             if wanted.get(service) != opened.address.port:
                 opened.stop()
@@ -38,16 +44,14 @@
                 functools.partial(self._handler, service),
             )
         except (OSError, OverflowError) as error:
-            if self._failed.get(service) != port:
-                self._failed[service] = port
+            reason = f"port {port}: {error}"
+            if self.failed.get(service) != reason:
+                self.failed[service] = reason
                 eliot.log_message(
-                    "datagram_port_not_opened",
-                    service=service,
-                    port=port,
-                    reason=str(error),
+                    "datagram_port_not_opened", service=service, reason=reason
                 )
             return
-        self._failed.pop(service, None)
+        self.failed.pop(service, None)
         self._open[service] = opened
         opened.start()
         eliot.log_message("datagram_port_opened", service=service, port=port)
--- a/sapphirelift/core/fields.py
+++ b/sapphirelift/core/fields.py
@@ -33,7 +33,11 @@
     "fairness.caller_slot_share": Field(
         0.5, 0.01, 1.0, False, "caller_share", 1
     ),
-    "flows.idle_timeout_ms": Field(60_000, 1000, _DAY_MS, True, "idle_s", 1000),
+    # Callers ping once a second and give a silent flow up after 6 s; a shorter
+    # timeout at the agent would break flows whose pings were lost.
+    "flows.idle_timeout_ms": Field(
+        60_000, 10_000, _DAY_MS, True, "idle_s", 1000
+    ),
     "flows.max_per_target": Field(2000, 1, 1_000_000, True, "max_flows", 1),
     "requests.reply_cache_ttl_ms": Field(
         30_000, 1000, _DAY_MS, True, "reply_ttl_s", 1000
