--- a/sapphirelift/operators/output.py
+++ b/sapphirelift/operators/output.py
@@ -24,6 +24,11 @@
     >>> print(render([{"name": "a", "load": 1}], output="table"))
     NAME  LOAD
     a     1
+    >>> print(render({"up": [{"name": "a"}], "out": []}, output="table"))
+    up:
+      NAME
+      a
+    out: none
     """
     if output not in FORMATS:
         raise errors.InputError(
