--- a/sapphirelift/operators/status.py
+++ b/sapphirelift/operators/status.py
@@ -31,6 +31,10 @@
             names = [m["name"] for m in members if m["state"] == state]
             if names:
                 shown[state] = _shortened(names)
+        shown["conditions"] = [
+            {name: value for name, value in row.items() if name != "since_ms"}
+            for row in shown["conditions"]
+        ]
         processes = shown.pop("processes")
         revisions = collections.Counter(p["revision"] for p in processes)
         shown["processes"] = [
