Run a replayed plain datagram once

A recorded PLAIN was run again each time it was sent to its owner. A window of hashes was ruled out: two datagrams of one caller with the same contents make the same PLAIN, and the second is no replay.

PLAIN is two fields longer: agents and balancers of the former layout do not read it, so all are upgraded together.

--- a/sapphirelift/_balancer_node.py
+++ b/sapphirelift/_balancer_node.py
@@ -42,7 +42,10 @@
         super().__init__(settings)
         assert settings.public is not None
         self.core = balancer.BalancerCore(
-            address=self.peer.address, members=self.members, ring=self.ring
+            address=self.peer.address,
+            members=self.members,
+            ring=self.ring,
+            incarnation=self.incarnation,
         )
         self.plain_ports = plain_ports.PlainPorts(
             settings.public.ip, self._on_plain
--- a/sapphirelift/core/balancer.py
+++ b/sapphirelift/core/balancer.py
@@ -27,6 +27,7 @@
         address: messages.Address,
         members: membership.Membership,
         ring: keys.KeyRing,
+        incarnation: int = 0,
     ) -> None:
         self.address = address
         self.members = members
@@ -34,7 +35,11 @@
         self._forwarder = forwarding.Forwarder(ring)
         self.freshness = freshness.Freshness()
         self.plain = generations.PlainRouter(
-            address=address, members=members, ring=ring, targets=self._targets
+            address=address,
+            incarnation=incarnation,
+            members=members,
+            ring=ring,
+            targets=self._targets,
         )
         self.withdrawn: set[str] = set()
         self.withdrawn_ids: set[int] = set()
--- a/sapphirelift/core/generations.py
+++ b/sapphirelift/core/generations.py
@@ -67,10 +67,13 @@
         self,
         *,
         address: messages.Address,
+        incarnation: int,
         members: membership.Membership,
         ring: keys.KeyRing,
         targets: Callable[[str], Sequence[Candidate]],
     ) -> None:
+        self._incarnation = incarnation
+        self._sequence = 0
         self._address = address
         self._members = members
         self._ring = ring
@@ -131,6 +134,7 @@
             if len(self._routes) >= MAX_CACHED_ROUTES:
                 self._routes.clear()
             self._routes[(service, caller)] = route
+        self._sequence += 1
         plain = messages.Plain(
             service=service,
             caller=messages.Address(*caller),
@@ -141,6 +145,8 @@
             candidates=route.others,
             previous=route.previous,
             payload=payload,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
         )
         body = wire.encode_body(plain)
         data = wire.encode_peer(messages.Kind.PLAIN, body, self._ring)
--- a/sapphirelift/core/hand_on.py
+++ b/sapphirelift/core/hand_on.py
@@ -13,6 +13,7 @@
 from sapphirelift import wire
 from sapphirelift.core import actions
 from sapphirelift.core import admission as admission_module
+from sapphirelift.core import delivered
 from sapphirelift.core import membership
 from sapphirelift.core import outbox
 from sapphirelift.core import outcomes
@@ -40,6 +41,10 @@
 PATH = "/datagram"
 
 
+def _sender(plain: messages.Plain) -> tuple[messages.Address, int]:
+    return plain.balancer, plain.incarnation
+
+
 @dataclasses.dataclass(slots=True)
 class _Owned:
     caller: messages.Address
@@ -113,6 +118,7 @@
             collections.deque()
         )
         self._runs: dict[int, tuple[bytes, int]] = {}
+        self._delivered = delivered.Delivered()
         self._last_run_id = 0
         self._last_ask_id = 0
         self._sweep_ms = 0
@@ -163,6 +169,8 @@
             raise errors.DatagramError("data_centre_withdrawn")
         if not 0 <= plain.hops <= MAX_HOPS:
             raise errors.DatagramError("hops")
+        if self._delivered.has(_sender(plain), plain.sequence):
+            raise errors.DatagramError("replayed")
         key = plain.flow_key
         if key in self._owned:
             self._deliver(plain, sender, now_ms)
@@ -231,6 +239,7 @@
             self._confirm(owned, plain, sender, now_ms)
         if len(self._queue) >= MAX_QUEUED_RUNS:
             raise errors.DatagramError("overloaded")
+        self._delivered.add(_sender(plain), plain.sequence)
         self._queue.append((plain.flow_key, plain.payload))
 
     def _confirm(
--- a/sapphirelift/messages.py
+++ b/sapphirelift/messages.py
@@ -278,6 +278,8 @@
 
     ``previous`` lists the first candidates of earlier generations that are
     alive. ``ask_id`` is set by an agent that sends the datagram on.
+    ``incarnation`` and ``sequence`` are the balancer's; they tell a replay
+    from a caller's datagram with the same contents.
     """
 
     service: str
@@ -289,6 +291,8 @@
     candidates: list[Address]
     previous: list[Address]
     payload: bytes
+    incarnation: int
+    sequence: int
 
 
 class PlainAsk(NamedTuple):
--- a/tests/test_hand_on.py
+++ b/tests/test_hand_on.py
@@ -13,6 +13,7 @@
 from sapphirelift.core import actions
 from sapphirelift.core import admission
 from sapphirelift.core import balancer
+from sapphirelift.core import delivered
 from sapphirelift.core import hand_on
 from sapphirelift.core import keys
 from sapphirelift.core import membership
@@ -280,6 +281,8 @@
             [],
             [],
             b"x",
+            1,
+            1,
         )
         agent.core._on_plain(plain, plain.balancer, 0)
         assert not agent.core.owns(b"k" * 16)
@@ -359,6 +362,8 @@
             [],
             [],
             b"x",
+            1,
+            1,
         )
         with pytest.raises(errors.DatagramError, match="wrong_service"):
             agent.core.handle(
@@ -367,3 +372,61 @@
                 plain.balancer,
                 0,
             )
+
+    def test_replay_is_not_run_again(self) -> None:
+        """Guards against a recorded PLAIN that runs a second time."""
+        network = Network(balancers=2)
+        for number in range(2):
+            network.announce(number, "up", at=[0, 1])
+        core = network.balancers[0]
+
+        def record() -> actions.SendPeer:
+            action = core.on_plain(
+                SERVICE, b"x", ("10.1.0.1", 5000), now_ms=network.now_ms
+            )
+            assert action is not None
+            return action
+
+        recorded = [record() for _ in range(2)]
+        for action in recorded * 3:
+            network.queue.append((core.address, action))
+            network.settle()
+        # Two datagrams of a caller with the same contents both run.
+        assert network.runs[b"x"] == 2
+        network.send(0, b"other balancer", via=1)
+        for _ in range(delivered.MAX_RECENT + 10):
+            network.put(0, b"later", via=0)
+            network.settle()
+        for action in recorded:
+            network.queue.append((core.address, action))
+        network.settle()
+        assert network.runs[b"x"] == 2
+        assert network.runs[b"other balancer"] == 1
+        restarted = balancer.BalancerCore(
+            address=core.address,
+            members=core.members,
+            ring=RING,
+            incarnation=1,
+        )
+        restarted.plain.tick({SERVICE}, network.now_ms)
+        network.balancers[0] = restarted
+        network.send(0, b"restarted", via=0)
+        assert network.runs[b"restarted"] == 1
+
+    def test_replayed_owner_is_refused(self) -> None:
+        """Guards against a redirect kept alive, or turned, by a recording."""
+        network = Network(balancers=1)
+        network.announce(0, "up", at=[0])
+        agent = network.agents[agent_address(0)]
+        key, asker = b"k" * 16, agent_address(1)
+        agent.core._on_ask(messages.PlainAsk(SERVICE, key, 1), asker, 0)
+        plain = messages.Plain(
+            SERVICE, agent.address, agent.address, key, 0, 0, [], [], b"x", 1, 1
+        )
+        agent.core._on_plain(plain, plain.balancer, 0)
+        _, body = wire.decode_peer(agent.out.take()[-1].data, RING)
+        sent = wire.decode_body(messages.Kind.PLAIN, body)
+        owned = messages.PlainOwned(key, sent.ask_id, agent_address(2))
+        agent.core._on_owned(owned, agent_address(2), 0)
+        with pytest.raises(errors.DatagramError, match="replayed"):
+            agent.core._on_owned(owned, agent_address(2), 0)
