--- a/sapphirelift/core/hand_on.py
+++ b/sapphirelift/core/hand_on.py
@@ -12,6 +12,7 @@
 from sapphirelift import messages
 from sapphirelift import wire
 from sapphirelift.core import admission as admission_module
+from sapphirelift.core import delivered
 from sapphirelift.core import membership
 from sapphirelift.core import outbox
 from sapphirelift.core import plain_runs
@@ -34,6 +35,10 @@
 SWEEP_MS = 1000
 
 
+def _sender(plain: messages.Plain) -> tuple[messages.Address, int]:
+    return plain.balancer, plain.incarnation
+
+
 @dataclasses.dataclass(slots=True)
 class _Redirect:
     """Where datagrams of a flow go that another agent owns.
@@ -101,6 +106,7 @@
             admission=admission,
             counters=counters,
         )
+        self._delivered = delivered.Delivered()
         self._last_ask_id = 0
         self._sweep_ms = 0
 
@@ -145,6 +151,8 @@
             raise errors.DatagramError("data_centre_withdrawn")
         if not 0 <= plain.hops <= MAX_HOPS:
             raise errors.DatagramError("hops")
+        if self._delivered.has(_sender(plain), plain.sequence):
+            raise errors.DatagramError("replayed")
         key = plain.flow_key
         if key in self._owned:
             self._deliver(plain, sender, now_ms)
@@ -212,6 +220,7 @@
         if plain.hops > 0:
             self._confirm(owned, plain, sender, now_ms)
         self.runs.add(plain.flow_key, plain.payload)
+        self._delivered.add(_sender(plain), plain.sequence)
 
     def _confirm(
         self,
