Wait for the exit of a process without stopping its callers

Cause: a blocking wait in the tests of planned stops held up the caller that had yet to send CLOSE, so the agent ran into its stop timeout of 30 s. Ruled out: a fault of the agent, whose only flow left was that caller's.

--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -122,6 +122,14 @@
             )
 
 
+def wait_exit(fleet: processes.Fleet, name: str) -> int:
+    """Waits for a process to end while the callers go on."""
+    with eventlet.Timeout(40):
+        while fleet.is_running(name):
+            eventlet.sleep(0.05)
+    return fleet.wait_exit(name)
+
+
 def put_service_record(fleet: processes.Fleet, number: int) -> None:
     """Changes the record of the service."""
     platform_client.ObjectClient(fleet.platform_url).put(
@@ -207,7 +215,7 @@
         assert set(ended) <= {ANSWER, outcomes.NotRun("draining")}
         assert ended.count(ANSWER) > 3 * len(sessions)
         assert "agent-0" not in {session.agent for session in sessions}
-        assert fleet.wait_exit("agent-0") == 0
+        assert wait_exit(fleet, "agent-0") == 0
         runs = sum(len(fleet.runs(f"agent-{n}")) for n in range(4))
         assert runs == ended.count(ANSWER)
         caller.close()
@@ -371,7 +379,7 @@
         ]
         assert late == []
         assert running.wait() == ANSWER
-        assert fleet.wait_exit("agent-0") == 0
+        assert wait_exit(fleet, "agent-0") == 0
         ends = {r["id"]: r["end"] for r in fleet.runs("agent-0")}
         assert ends["running"] == "completed"
         for each in callers:
@@ -409,7 +417,7 @@
             assert outcome == ANSWER
         caller.balancers = [fleet.public["balancer-1"]]
         assert {task.wait() for task in tasks} == {ANSWER}
-        assert fleet.wait_exit("balancer-0") == 0
+        assert wait_exit(fleet, "balancer-0") == 0
         runs = fleet.runs("agent-0") + fleet.runs("agent-1")
         ids = sorted(int(run["id"]) for run in runs if run["id"] != "-1")
         assert ids == list(range(12))
