Keep an agent that ramps up below the use of the others

Cause: after a data centre had returned, its agents with one slot of their ramp were filled to the use of the warm ones by all peers at once, and one slot queues at a use at which four do not. The p99 rose as soon as the limit reached 1.

Change: peers are drawn by their limit, and the use counts half a slot less than the limit.

The test of the draw failed before the change.

--- a/sapphirelift/core/load.py
+++ b/sapphirelift/core/load.py
@@ -28,6 +28,9 @@
 ABSOLUTE_MARGIN = 0.005
 # An agent at the start of its ramp admits less than one request at a time.
 MIN_LIMIT = 0.1
+# A few slots queue at a lower use than many: an agent that ramped up with one
+# slot at the use of the others, 0.75, had waits of several requests.
+SLOT_RESERVE = 0.5
 
 
 class Own(NamedTuple):
@@ -212,7 +215,7 @@
         options = [peer for peer in peers if peer.free >= 1]
         if not options:
             return self._shorter_queue(own, peers)
-        pair = self._rng.sample(options, min(2, len(options)))
+        pair = self._draw_pair(options)
         best = min(pair, key=lambda peer: peer.use)
         if is_free and own.use <= _with_margin(best.use):
             return None
@@ -221,13 +224,26 @@
         best.request_sent()
         return best
 
+    def _draw_pair(self, peers: list[Peer]) -> list[Peer]:
+        """Draws two peers, each with a chance that grows with its limit.
+
+        With equal chances an agent that ramps up and reported one free slot
+        got a dozen requests from its peers before its next report.
+        """
+
+        def key(peer: Peer) -> float:
+            weight = max(peer.report.limit, MIN_LIMIT)
+            return self._rng.random() ** (1.0 / weight)
+
+        return sorted(peers, key=key, reverse=True)[:2]
+
     def _shorter_queue(self, own: Own, peers: list[Peer]) -> Peer | None:
         """Returns a peer whose queue is shorter while no peer has free slots.
 
         A queue of the same length is enough at a clearly less utilised peer,
         because its slots are likely to be free again since the report.
         """
-        pair = self._rng.sample(peers, min(2, len(peers)))
+        pair = self._draw_pair(peers)
         best = max(pair, key=lambda peer: peer.free)
         is_below = own.use > _with_margin(best.use)
         here = own.limit - own.busy - own.queued
@@ -238,7 +254,7 @@
 
 
 def _use(utilisation: float, slots: int, limit: float) -> float:
-    return utilisation * slots / max(limit, MIN_LIMIT)
+    return utilisation * slots / max(limit - SLOT_RESERVE, MIN_LIMIT)
 
 
 def _with_margin(utilisation: float) -> float:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -171,6 +171,22 @@
         warm = table(report("agent-1", utilisation=0.2))
         assert warm.place_request(here, NOW_MS) is not None
 
+    def test_ramping_peer_gets_its_share_of_the_choices(self) -> None:
+        """Guards against a dozen agents that fill one free slot at once."""
+        chosen = 0
+        for seed in range(400):
+            made = table(
+                report("agent-1", limit=1.0),
+                *(report(f"agent-{n}", utilisation=0.4) for n in range(2, 8)),
+                seed=seed,
+            )
+            full = own(busy=4, utilisation=0.5)
+            peer = made.place_request(full, NOW_MS)
+            assert peer is not None
+            chosen += peer.report.name == "agent-1"
+        # Equal chances would give 2 / 7 of 400, shares of the limits 2 / 25.
+        assert 10 < chosen < 60
+
     def test_own_ramp_counts_too(self) -> None:
         """Guards against a queue at an agent that has just returned."""
         made = table(report("agent-1", utilisation=0.4))
