--- a/sapphirelift/core/agent.py
+++ b/sapphirelift/core/agent.py
@@ -421,17 +421,25 @@
             self._sweep(now_ms)
 
     def _sweep(self, now_ms: int) -> None:
-        timeout_ms = self.limits.flow_idle_timeout_ms
-        if self.state != membership.UP:
-            timeout_ms = min(timeout_ms, self.limits.drain_silence_ms)
         for flow in list(self.flows.values()):
-            if now_ms - flow.heard_ms > timeout_ms:
+            if now_ms - flow.heard_ms > self._flow_timeout_ms(flow):
                 self._close(flow, now_ms)
                 self.counters["flows_expired"] += 1
                 continue
             if self.state != membership.UP:
                 self._send_move(flow, now_ms)
 
+    def _flow_timeout_ms(self, flow: flows.Flow) -> int:
+        """Returns the silence after which a flow is given up.
+
+        A planned stop does not wait for callers that have gone, but it cuts
+        no request in progress.
+        """
+        timeout_ms = self.limits.flow_idle_timeout_ms
+        if self.state != membership.UP and not flow.unfinished:
+            return min(timeout_ms, self.limits.drain_silence_ms)
+        return timeout_ms
+
     def _move_from_old_key(self, now_ms: int) -> None:
         """Moves one flow whose token is signed with a former key.
 
--- a/sapphirelift/core/hand_on.py
+++ b/sapphirelift/core/hand_on.py
@@ -399,7 +399,7 @@
     def is_idle(self) -> bool:
         """Whether no plain flow is owned, redirected or asked about."""
         return not (
-            self._pending or self._owned or self._redirects or self._queue
+            self._pending or self._owned or self._redirects or self.runs.queued
         )
 
     def tick(self, now_ms: int) -> None:
--- a/sapphirelift/core/plain_runs.py
+++ b/sapphirelift/core/plain_runs.py
@@ -63,6 +63,11 @@
         """Number of datagrams that run on the backend server."""
         return len(self._runs)
 
+    @property
+    def queued(self) -> int:
+        """Number of datagrams that wait for a slot."""
+        return len(self._queue)
+
     @property
     def is_full(self) -> bool:
         """Whether no more datagrams may wait."""
--- a/sapphirelift/operators/key_commands.py
+++ b/sapphirelift/operators/key_commands.py
@@ -62,7 +62,7 @@
         if held is None:
             return self._write({0: _settings_key(settings)}, 0, None)
         kept = held.keys
-        if len(kept.keys) >= keyring.MAX_KEYS:
+        if len(kept.keys) >= records.MAX_KEYS:
             raise errors.KeyChangeError(
                 "the keyring already holds two keys",
                 remedy="remove the old one with `sapphirelift keys retire`",
@@ -110,7 +110,7 @@
     def _write(
         self, kept: dict[int, bytes], current_id: int, held: _Held | None
     ) -> dict[str, Any]:
-        new_id = (current_id + 1) % (keyring.MAX_KEY_ID + 1)
+        new_id = (current_id + 1) % (records.MAX_KEY_ID + 1)
         rotated = kept | {new_id: secrets.token_bytes(KEY_BYTES)}
         row = self._store_keys(rotated, new_id, held)
         note = {"revision": row["revision"], "wall_ms": _wall_ms()}
