Retry a refusal by a draining agent outside the retry budget

A move goes to another agent, so it adds no load where the refusal came from; the deadline bounds it. test_move_takes_nothing_from_the_budget failed before; the test with 300 flows now accepts nothing but answers.

Records of schema version 1 take no field names of version 2 any more: a mixture was accepted for data centres and policies, and two process tests wrote one (their service record was refused, so nothing changed). They now write valid records. test_version_1_takes_no_names_of_version_2 failed before.

--- a/sapphirelift/core/caller.py
+++ b/sapphirelift/core/caller.py
@@ -523,11 +523,15 @@
         self, request: _Request, outcome: outcomes.Outcome, now_ms: int
     ) -> None:
         flow = self._flows.get(request.flow_key or b"")
-        if flow is not None and outcome == outcomes.NotRun("draining"):
+        is_moving = outcome == outcomes.NotRun("draining")
+        if flow is not None and is_moving:
             # The MOVE that goes with this outcome may have been lost.
             self._on_move(flow, now_ms)
-        if isinstance(outcome, outcomes.NotRun) and self._may_retry(
-            request, now_ms
+        # A move goes to another agent and adds no load to the one that
+        # refused. Under the budget, a drain of 300 flows of one caller ended
+        # in refusals in 1 of 4 runs.
+        if isinstance(outcome, outcomes.NotRun) and (
+            self._may_retry(request, now_ms, is_budgeted=not is_moving)
         ):
             self._retry(request, now_ms)
             return
@@ -543,11 +547,13 @@
         else:
             self._finish(request, outcomes.Unknown(reason))
 
-    def _may_retry(self, request: _Request, now_ms: int) -> bool:
+    def _may_retry(
+        self, request: _Request, now_ms: int, *, is_budgeted: bool = True
+    ) -> bool:
         return (
             request.session_id in self._sessions
             and now_ms + RETRY_DELAY_MS < request.deadline_at_ms
-            and self._budget.withdraw()
+            and (not is_budgeted or self._budget.withdraw())
         )
 
     def _retry(self, request: _Request, now_ms: int) -> None:
--- a/sapphirelift/core/records_v1.py
+++ b/sapphirelift/core/records_v1.py
@@ -16,6 +16,14 @@
 _ROUTING = {"token": "token", "hand_on": "hash"}
 _ROUTING_FROM_V1 = {v1: v2 for v2, v1 in _ROUTING.items()}
 _COMMON = ("kind", "name")
+# Fields of version 2 that version 1 carries in its extensions.
+_EXTENSIONS: dict[str, frozenset[str]] = {
+    "service": frozenset({"labels", "overrides"}),
+    "data_centre": frozenset({"reason"}),
+    "branch_policy": frozenset({"data_centres"}),
+}
+# Fields of version 2 that have another name in version 1.
+_RENAMED = {"data_centre": {"withdrawn"}, "branch_policy": {"locked"}}
 
 
 def upgrade(
@@ -31,8 +39,14 @@
     for name in _COMMON:
         if name in rest:
             upgraded[name] = rest.pop(name)
+    kind = str(upgraded.get("kind"))
+    allowed = _EXTENSIONS.get(kind, frozenset())
+    foreign = sorted(map(str, extensions.keys() - allowed))
+    foreign += sorted((allowed | _RENAMED.get(kind, set())) & rest.keys())
+    if foreign:
+        return result.Err(_invalid(f"unknown field {foreign[0]!r}"))
     try:
-        upgraded |= _upgrade_body(str(upgraded.get("kind")), rest)
+        upgraded |= _upgrade_body(kind, rest)
     except (TypeError, ValueError) as error:
         return result.Err(_invalid(str(error)))
     return result.Ok(upgraded | extensions)
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -6,6 +6,7 @@
 from sapphirelift import wire
 from sapphirelift.core import caller
 from sapphirelift.core import outcomes
+from sapphirelift.core import retries
 
 KIND = messages.Kind
 CODE = messages.OutcomeCode
@@ -15,8 +16,13 @@
 class Harness:
     """A caller core with one session and one request on an open flow."""
 
-    def __init__(self, *, idempotent: bool = False) -> None:
-        self.core = caller.CallerCore(rng=random.Random(1))
+    def __init__(
+        self,
+        *,
+        idempotent: bool = False,
+        budget: retries.RetryBudget | None = None,
+    ) -> None:
+        self.core = caller.CallerCore(rng=random.Random(1), budget=budget)
         self.done: list[outcomes.Outcome] = []
         self.sent: list[wire.CallerDatagram] = []
         session_id, out = self.core.open_session("service", now_ms=0)
@@ -119,3 +125,15 @@
         harness.receive(KIND.RESET, key, messages.Reset("unknown_flow"), 10)
         harness.tick(1000)
         assert harness.done == [outcomes.Unknown("deadline")]
+
+    def test_move_takes_nothing_from_the_budget(self) -> None:
+        """Guards against a drain of many flows that spends the budget."""
+        harness = Harness(budget=retries.RetryBudget(burst=0.0))
+        key = harness.last(KIND.REQUEST).flow_key
+        harness.respond(CODE.NOT_RUN, "draining", 10)
+        assert harness.done == []
+        harness.accept(20)
+        harness.tick(200)
+        assert harness.last(KIND.REQUEST).flow_key != key
+        harness.respond(CODE.NOT_RUN, "overloaded", 210)
+        assert harness.done == [outcomes.NotRun("overloaded")]
--- a/tests/test_core_machine.py
+++ b/tests/test_core_machine.py
@@ -517,7 +517,7 @@
         [
             (caller, "_decode_outcome", _unknown_as_not_run),
             # A retry would make it a second run.
-            (caller.CallerCore, "_may_retry", lambda *_: False),
+            (caller.CallerCore, "_may_retry", lambda *_, **__: False),
         ],
         "which ran",
     ),
--- a/tests/test_member_processes.py
+++ b/tests/test_member_processes.py
@@ -30,7 +30,7 @@
     platform_client.ObjectClient(fleet.platform_url).put(
         "records/data_centre/etela-b",
         {
-            "schema_version": 1,
+            "schema_version": 2,
             "kind": "data_centre",
             "name": "etela-b",
             "withdrawn": out,
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -34,7 +34,7 @@
     platform_client.ObjectClient(fleet.platform_url).put(
         "records/data_centre/etela-b",
         {
-            "schema_version": 1,
+            "schema_version": 2,
             "kind": "data_centre",
             "name": "etela-b",
             "withdrawn": out,
@@ -135,10 +135,11 @@
     platform_client.ObjectClient(fleet.platform_url).put(
         f"records/service/{SERVICE}",
         {
-            "schema_version": 1,
+            "schema_version": 2,
             "kind": "service",
             "name": SERVICE,
-            "datagram_port": 9000 + number,
+            "branch": "pihlajakoti",
+            "overrides": {"flows.max_per_target": 1000 + number},
         },
     )
 
@@ -210,9 +211,7 @@
         for task in tasks:
             task.wait()
         assert caller.broken_flows == 0
-        # A drain refuses what has not started; when many flows move at once
-        # the caller's retry budget may not cover all of these.
-        assert set(ended) <= {ANSWER, outcomes.NotRun("draining")}
+        assert set(ended) == {ANSWER}
         assert ended.count(ANSWER) > 3 * len(sessions)
         assert "agent-0" not in {session.agent for session in sessions}
         assert wait_exit(fleet, "agent-0") == 0
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -102,6 +102,19 @@
         assert held.withdrawn() == {"etela-a"}
         assert "write version 1 or 2" in held.refused[key]
 
+    def test_version_1_takes_no_names_of_version_2(self) -> None:
+        """Guards against a mixture that means something else elsewhere."""
+        head = {"schema_version": 1, "kind": "data_centre", "name": "etela-a"}
+        for extra, field in (
+            ({"withdrawn": True}, "withdrawn"),
+            ({"reason": "flood"}, "reason"),
+            ({"extensions": {"withdrawn": True}}, "withdrawn"),
+            ({"extensions": {"name": "etela-b"}}, "name"),
+        ):
+            parsed = records.parse(head | extra)
+            assert isinstance(parsed, result.Err)
+            assert f"unknown field '{field}'" in str(parsed.err_value)
+
     def test_unknown_field_is_refused_by_name(self) -> None:
         """Guards against a misspelt field that is silently ignored."""
         value = {
