Spread repeated announcements by the number of members affected

Cause: a fixed delay cannot serve both ends. Up to 10 s kept a single deleted member away for longer than the 7 s that test_deleted_announcement_is_repeated allows; up to 5 s made 784 writes a second when regions meet again, above the 400 that test_calls_within_the_platforms_rates allows. The spread now is 1 s for each 300 members that were marked or deleted together, at least 1 s. By the model: 300 writes a second when a data centre returns or regions meet. Both tests pass.

--- a/sapphirelift/_announcer.py
+++ b/sapphirelift/_announcer.py
@@ -15,15 +15,24 @@
 from sapphirelift.platform import client
 
 # When a data centre or a region comes back, its members see that they have
-# been marked or deleted and announce themselves again. 3,920 members over 5 s
-# make 784 writes a second; 10 s would make 392, but a live member that was
-# deleted would be missing for longer than 7 s.
-MAX_REPEAT_DELAY_S = 5.0
+# been marked or deleted and announce themselves again. They spread that over
+# a time that grows with their number: 13 s for 3,920 members.
+REPEATS_PER_S = 300.0
+MIN_REPEAT_SPREAD_S = 1.0
 # When a sixth of the fleet (1,167 agents) returns at once, delays of 5 to
 # 10 s spread its announcements to about 230 a second.
 MAX_DELAY_S = 10.0
 
 
+def repeat_spread_s(affected: int) -> float:
+    """Returns the time over which members announce themselves again.
+
+    >>> repeat_spread_s(1), repeat_spread_s(3000)
+    (1.0, 10.0)
+    """
+    return max(MIN_REPEAT_SPREAD_S, affected / REPEATS_PER_S)
+
+
 class Announcer:
     """Writes the announcement until the platform has the current one.
 
@@ -57,14 +66,19 @@
             self._running = True
             eventlet.spawn(self._run)
 
-    def on_change(self, change: replica.StoredObject) -> None:
-        """Announces again if another process has changed the object."""
+    def on_change(self, change: replica.StoredObject, *, affected: int) -> None:
+        """Announces again if another process has changed the object.
+
+        Args:
+            change: The changed object.
+            affected: Number of members that were marked or deleted with it.
+        """
         value = self._announcement()
         found = change.value or {}
         is_newer = found.get("incarnation", 0) > value["incarnation"]
         if found != value and not is_newer and not self._repeat_pending:
             self._repeat_pending = True
-            delay_s = self._rng.uniform(0, MAX_REPEAT_DELAY_S)
+            delay_s = self._rng.uniform(0, repeat_spread_s(affected))
             eventlet.spawn_after(delay_s, self._repeat)
 
     def _repeat(self) -> None:
--- a/sapphirelift/_node.py
+++ b/sapphirelift/_node.py
@@ -83,6 +83,7 @@
         )
         self.admin = admin.AdminServer(settings.admin.address, self)
         self.drops: dict[str, int] = {}
+        self._members_affected = 0
 
     @property
     def service(self) -> str:
@@ -187,6 +188,8 @@
 
     def apply_changes(self, changes: Iterable[replica.StoredObject]) -> None:
         """Brings changed objects into force."""
+        changes = list(changes)
+        self._members_affected = sum(map(_is_member_lost, changes))
         for change in changes:
             # An object of unknown form must not keep the others from force.
             try:
@@ -216,7 +219,7 @@
 
     def _apply_member(self, change: replica.StoredObject) -> None:
         if change.key == self._member_key and self.state == membership.UP:
-            self.announcer.on_change(change)
+            self.announcer.on_change(change, affected=self._members_affected)
         if change.value is None:
             name = change.key.rsplit("/", 1)[1]
             self.members.remove(name, revision=change.revision)
@@ -366,6 +369,13 @@
         raise NotImplementedError
 
 
+def _is_member_lost(change: replica.StoredObject) -> bool:
+    """Tells whether a change marks or deletes a member."""
+    if not change.key.startswith(MEMBERS):
+        return False
+    return change.value is None or bool(change.value.get("suspected"))
+
+
 def _by_kind(*counts: list[int]) -> dict[str, int]:
     """Returns the sums of counts by the name of the datagram kind."""
     totals = [sum(pair) for pair in zip(*counts, strict=True)]
--- a/sapphirelift/bench/capacity_model.py
+++ b/sapphirelift/bench/capacity_model.py
@@ -134,7 +134,6 @@
     repairs = 2 * watchers * FAILURES / DAY_S
     changes = CONFIG_CHANGES / DAY_S + announcements + 2 * FAILURES / DAY_S
     per_repair_s = getattr(membership, "REPAIR_SPACING_MS", 0) / 1000
-    delay_s = getattr(_announcer, "MAX_REPEAT_DELAY_S", 0.0)
 
     def marks_per_s(silent: float, balancers: float) -> float:
         """Returns the peak of marks; without a spacing all in one second."""
@@ -145,8 +144,10 @@
             else (min(attempts, balancers * client.BURST_CALLS))
         )
 
-    # Without a delay, fetches by heartbeat spread repeats over about 2 s.
-    repeat_s = delay_s or 2.0
+    def repeats_per_s(members: float) -> float:
+        """Returns the announcements when members come back together."""
+        return members / _announcer.repeat_spread_s(round(members))
+
     data_centre = MEMBERS / DATA_CENTRES
     left = BALANCERS * (1 - 1 / DATA_CENTRES)
     outage_delay_s = _record_sync.MAX_DELAY_S
@@ -163,16 +164,16 @@
         "rack failure: watches, peak": most,
         "data centre fails: marks, peak": marks_per_s(data_centre, left),
         "data centre fails: watches, peak": most * left / BALANCERS,
-        "data centre returns: announcement reads": data_centre / repeat_s,
-        "data centre returns: announcement writes": data_centre / repeat_s,
+        "data centre returns: announcement reads": repeats_per_s(data_centre),
+        "data centre returns: announcement writes": repeats_per_s(data_centre),
         "data centre returns: watches, peak": most,
         "platform outage ends: watches and lists": BALANCERS / outage_delay_s,
-        "platform outage ends: announcement writes": (
-            (RESTARTS + FAILURES) / 24 / repeat_s
+        "platform outage ends: announcement writes": repeats_per_s(
+            (RESTARTS + FAILURES) / 24
         ),
         "regions apart: marks, peak": marks_per_s(MEMBERS / 2, BALANCERS / 2),
         "regions apart: watches, peak": most / 2,
-        "regions meet: announcement writes": MEMBERS / 2 / repeat_s,
+        "regions meet: announcement writes": repeats_per_s(MEMBERS / 2),
         "regions meet: watches, peak": most,
     }
     return {key: float(value) for key, value in figures.items()}
