Mend the capacity measurement of control work

Its sample service records set an unknown field, so the daemons refused them and a changed record looked cheaper than it is. test_records_come_into_force failed with the former record.

--- a/sapphirelift/bench/capacity.py
+++ b/sapphirelift/bench/capacity.py
@@ -114,7 +114,7 @@
         "name": name,
         "branch": "pihlajakoti",
         "routing": "token",
-        "overrides": {"slots": 4},
+        "overrides": {"flows.max_per_target": 2000},
         "labels": {"team": f"team-{number % 50}"},
     }
     return replica.StoredObject(f"records/service/{name}", revision, value)
@@ -316,7 +316,7 @@
         "beat_us": beat_us,
         "heartbeat_received_us": median_us(receive, repeat=50),
         "ack_us": median_us(ack, repeat=5) - beat_us,
-        "plain_ports_us": median_us(node._update_plain_ports, repeat=5),
+        "ports_us": median_us(node._update_ports, repeat=5),
         "candidate_check_us": median_us(node._is_status_candidate, repeat=5),
         "apply_record_us": median_us(change, repeat=5),
         "apply_member_us": median_us(change_member, repeat=5),
@@ -332,7 +332,7 @@
         + result["beat_us"]
         + len(beats) * result["heartbeat_received_us"]
         + 3 * max(0.0, result["ack_us"])
-        + result["plain_ports_us"]
+        + result["ports_us"]
         + result["candidate_check_us"] / 2
     )
     return result
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -12,6 +12,7 @@
 from sapphirelift.core import heartbeats
 from sapphirelift.core import keys
 from sapphirelift.core import membership
+from sapphirelift.core import record_set
 from sapphirelift.core import replica
 from sapphirelift.core import routing
 
@@ -213,3 +214,18 @@
                 if i.value is not None and i.key.startswith(prefix)
             ]
             assert sorted(held.items(prefix)) == sorted(expected)
+
+
+class TestMeasurements:
+    """The measuring tool against the daemons that it measures."""
+
+    def test_control_work_of_a_small_fleet(self) -> None:
+        """Guards against a tool that no longer fits the daemons."""
+        assert capacity.control(20)["control_us_per_s"] > 0
+
+    def test_records_come_into_force(self) -> None:
+        """Guards against figures of records that a daemon refuses."""
+        record = capacity.service_record(1, 5)
+        held = record_set.RecordSet()
+        held.apply(record)
+        assert held.refused == {}
