--- /dev/null
+++ b/sapphirelift/_directory.py
@@ -0,0 +1,139 @@
+"""Objects in the platform's store by which daemons find each other.
+
+Each daemon writes its own entry before it lists the others, so that of two
+daemons that start at once at least one finds the other. Entries only name
+addresses; whether a daemon lives, its heartbeats tell.
+"""
+
+import random
+from collections.abc import Callable
+
+import eventlet
+import msgspec
+
+from sapphirelift import decision_log
+from sapphirelift import errors
+from sapphirelift import tasks
+from sapphirelift.core import backoff
+from sapphirelift.core.l4 import messages
+from sapphirelift.platform import store as store_module
+
+KIND = "sapphirelift-daemons"
+MAX_DELAY_S = 2.0
+# Repairs what a lost datagram has left undone; a stale list costs a tenth.
+RELIST_INTERVAL_S = 10.0
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """Entry of one daemon.
+
+    Attributes:
+        role: ``balancer`` or ``agent``.
+        incarnation: Number of its start.
+    """
+
+    role: str
+    ip: str
+    port: int
+    incarnation: int
+
+    @property
+    def address(self) -> messages.Address:
+        """Where the daemon receives messages."""
+        return messages.Address(self.ip, self.port)
+
+
+class Directory:
+    """Keeps the entry of one daemon and finds the others.
+
+    Attributes:
+        skipped: Entries that could not be read.
+    """
+
+    def __init__(
+        self,
+        store: store_module.Store,
+        *,
+        name: str,
+        entry: Entry,
+        is_first_start: bool,
+        on_entries: Callable[[list[Entry]], None],
+        is_alone: Callable[[], bool],
+        log: decision_log.DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        """Prepares the entry.
+
+        Args:
+            store: Client of the store.
+            name: Name of the entry.
+            entry: The entry.
+            is_first_start: Whether there can be no former entry.
+            on_entries: Takes the entries of all daemons.
+            is_alone: Tells whether others are needed and none is heard, so
+                that a list is worth its price.
+            log: For changes of what is believed.
+            rng: Source of jitter.
+        """
+        self.skipped = 0
+        self._store = store
+        self._name = name
+        self._entry = entry
+        self._is_first_start = is_first_start
+        self._on_entries = on_entries
+        self._is_alone = is_alone
+        self._log = log
+        self._rng = rng
+
+    def start(self) -> None:
+        """Starts to announce and to list."""
+        tasks.spawn("directory", self._run)
+
+    def remove(self) -> None:
+        """Removes the entry; one that remains does no harm."""
+        try:
+            self._store.delete(KIND, self._name)
+        except errors.SapphireliftError as error:
+            self._log.write("entry_not_removed", reason=str(error))
+
+    def _run(self) -> None:
+        self._retry(self._announce)
+        self._retry(lambda: self._list(allow_stale=False))
+        while True:
+            eventlet.sleep(RELIST_INTERVAL_S * self._rng.uniform(0.75, 1.25))
+            if self._is_alone():
+                self._retry(lambda: self._list(allow_stale=True))
+
+    def _retry(self, call: Callable[[], None]) -> None:
+        delays = backoff.Backoff(self._rng, max_s=MAX_DELAY_S)
+        while True:
+            try:
+                call()
+                return
+            except errors.PlatformUnavailableError as error:
+                self._log.write("directory_unavailable", reason=str(error))
+                eventlet.sleep(delays.next_s())
+
+    def _announce(self) -> None:
+        value = msgspec.to_builtins(self._entry)
+        create = self._is_first_start
+        for _ in range(2):
+            try:
+                if create:
+                    self._store.create(KIND, self._name, value)
+                else:
+                    self._store.replace(KIND, self._name, value)
+                return
+            except errors.ConflictError:
+                # There is an entry of a former start, or there is none.
+                create = not create
+
+    def _list(self, *, allow_stale: bool) -> None:
+        listing = self._store.list_kind(KIND, allow_stale=allow_stale)
+        entries: list[Entry] = []
+        for item in listing.objects:
+            try:
+                entries.append(msgspec.convert(item.value, Entry))
+            except msgspec.ValidationError:
+                self.skipped += 1
+        self._on_entries(entries)
--- /dev/null
+++ b/sapphirelift/_packet_agent.py
@@ -0,0 +1,172 @@
+"""Packet daemon in the role of an agent."""
+
+from typing import Any
+
+import eventlet
+
+from sapphirelift import _directory
+from sapphirelift import _packet_node
+from sapphirelift import clock
+from sapphirelift import deployment
+from sapphirelift import errors
+from sapphirelift import tasks
+from sapphirelift.core.l4 import agent as agent_module
+from sapphirelift.core.l4 import agents
+from sapphirelift.core.l4 import backend
+from sapphirelift.core.l4 import messages
+from sapphirelift.peers import datagrams
+from sapphirelift.platform import http
+from sapphirelift.platform import packets
+
+HEARTBEAT_S = 0.4
+# Time for the announcement to reach the balancers before the process ends.
+LINGER_S = 0.1
+
+
+class AgentNode(_packet_node.PacketNode):
+    """Sockets and heartbeats of an agent."""
+
+    def __init__(self, settings: deployment.Deployment) -> None:
+        super().__init__(settings)
+        self.core: agent_module.Agent = agent_module.Agent(
+            agent_module.Identity(
+                name=settings.name,
+                address=settings.daemon_address,
+                incarnation=self.incarnation,
+                service=settings.service,
+                data_centre=settings.data_centre,
+                region=settings.region,
+            ),
+            report_interval_ms=settings.report_interval_ms,
+            started_unix_ms=self.started_unix_ms,
+            is_first_start=settings.is_first_start,
+            now_ms=clock.now_ms(),
+        )
+        self._backend = deployment.address(settings.backend)
+        self._outbound = datagrams.DatagramSocket(
+            deployment.address(settings.outbound),
+            self._on_backend_packet,
+            max_bytes=_packet_node.MAX_PACKET_BYTES,
+            name="outbound",
+        )
+        self._readiness = http.ReadinessServer(
+            deployment.address(settings.readiness), lambda: self.is_ready
+        )
+        self._reports = http.ReportServer(
+            deployment.address(settings.reports),
+            on_report=self._on_report,
+            on_end=self._on_end,
+            on_refused=self._on_refused,
+        )
+        self._directory = self.new_directory("agent")
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new flows may open here."""
+        return self.core.state(clock.now_ms()) == agents.READY
+
+    def start(self) -> None:
+        """Starts all tasks."""
+        super().start()
+        self._outbound.start()
+        self._readiness.start()
+        self._reports.start()
+        self._directory.start()
+        tasks.spawn("heartbeats", self._beat)
+
+    def stop(self) -> None:
+        """Tells the balancers and ends; flows go on after a restart."""
+        has_left = self.core.is_idle
+        self.core.leave(clock.now_ms())
+        self.perform()
+        self.log.write(
+            "stopping",
+            backend_has_left=has_left,
+            flows=self.core.flows.open_flows,
+        )
+        self.log.flush()
+        if has_left:
+            self._directory.remove()
+        eventlet.sleep(LINGER_S)
+        self.stopped()
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state of the process."""
+        return super().dump() | self.core.dump(clock.now_ms())
+
+    # Packets and messages.
+
+    def _on_backend_packet(self, data: bytes, source: tuple[str, int]) -> None:
+        try:
+            received = packets.decode_from_backend(data)
+        except errors.DatagramError as error:
+            self.drop(error.reason, source[0])
+            return
+        if received.is_bounced:
+            self.core.on_bounced(received, clock.now_ms())
+        else:
+            self.core.on_backend_packet(received, clock.now_ms())
+        self.perform()
+
+    def on_message(
+        self, message: messages.Message, source: messages.Address
+    ) -> None:
+        """Takes a message of a balancer or another agent.
+
+        Raises:
+            DatagramError: It carries a packet that cannot be decoded.
+        """
+        now_ms = clock.now_ms()
+        match message:
+            case messages.Deliver():
+                received = packets.decode_from_caller(message.data)
+                self.core.on_deliver(message, received, now_ms)
+            case messages.Open():
+                received = packets.decode_from_caller(message.data)
+                self.core.on_open(message, received, now_ms)
+            case messages.Ask():
+                self.core.on_ask(message, source, now_ms)
+            case messages.HeartbeatAck():
+                self.core.on_ack(message, now_ms)
+            case messages.Hello():
+                self.core.on_hello(message, now_ms)
+            case _:
+                raise errors.DatagramError("unexpected_kind")
+
+    def send_backend(self, data: bytes) -> None:
+        """Gives a packet to the backend server."""
+        if not self._outbound.send(data, self._backend):
+            self.drop("backend_send_failed")
+
+    # The backend server.
+
+    def _on_report(self, report: backend.Report) -> None:
+        self.core.on_report(report, clock.now_ms())
+        self.perform()
+
+    def _on_end(self, backend_id: str) -> None:
+        self.core.on_end(backend_id, clock.now_ms())
+        self.perform()
+
+    def _on_refused(self, reason: str) -> None:
+        self.core.counters["reports_refused"] += 1
+        self.log.write("report_refused", reason=reason)
+
+    # Balancers.
+
+    def on_entries(self, entries: list[_directory.Entry]) -> None:
+        """Starts to send heartbeats to the balancers of the directory."""
+        for entry in entries:
+            if entry.role == "balancer":
+                self.core.add_balancer(entry.address, clock.now_ms())
+        self.perform()
+
+    def is_alone(self) -> bool:
+        """Tells whether no balancer is heard."""
+        return not self.core.hears_balancers(clock.now_ms())
+
+    def _beat(self) -> None:
+        while True:
+            eventlet.sleep(HEARTBEAT_S * self.rng.uniform(0.9, 1.1))
+            self.core.beat(clock.now_ms())
+            self.perform()
--- /dev/null
+++ b/sapphirelift/_packet_balancer.py
@@ -0,0 +1,257 @@
+"""Packet daemon in the role of a balancer."""
+
+import json
+from typing import Any
+
+import eventlet
+import urllib3
+
+from sapphirelift import _directory
+from sapphirelift import _packet_node
+from sapphirelift import _store_follower
+from sapphirelift import clock
+from sapphirelift import deployment
+from sapphirelift import errors
+from sapphirelift import tasks
+from sapphirelift.core.l4 import balancer as balancer_module
+from sapphirelift.core.l4 import messages
+from sapphirelift.core.l4 import routes
+from sapphirelift.peers import datagrams
+from sapphirelift.platform import configuration
+from sapphirelift.platform import http
+from sapphirelift.platform import packets
+from sapphirelift.platform import store as store_module
+
+GOSSIP_S = 0.5
+REPLICA_PATH = "/replica"
+FETCH_TIMEOUT_S = 1.0
+# The fabric sees a failed readiness check after two misses, half a second
+# apart, and packets that are on their way still come.
+LINGER_S = 2.5
+
+
+class BalancerNode(_packet_node.PacketNode):
+    """Sockets, watches and gossip of a balancer."""
+
+    def __init__(self, settings: deployment.Deployment) -> None:
+        super().__init__(settings, pages={REPLICA_PATH: self._replica})
+        self.core: balancer_module.Balancer = balancer_module.Balancer(
+            address=settings.daemon_address,
+            replica=settings.admin_address,
+            now_ms=clock.now_ms(),
+            rng=self.rng,
+        )
+        self._held: dict[str, Any] = {}
+        self._is_fetching = False
+        self._http = urllib3.PoolManager(retries=False, timeout=FETCH_TIMEOUT_S)
+        self._callers = datagrams.DatagramSocket(
+            deployment.address(settings.packets),
+            self._on_packet,
+            max_bytes=_packet_node.MAX_PACKET_BYTES,
+            name="callers",
+        )
+        self._readiness = http.ReadinessServer(
+            deployment.address(settings.readiness), lambda: self.is_ready
+        )
+        self._directory = self.new_directory("balancer")
+        self._followers = [
+            self._follow(
+                configuration.CONFIGURATION_KIND, self._on_configuration
+            ),
+            self._follow(configuration.EVACUATION_KIND, self._on_evacuations),
+        ]
+
+    def _follow(
+        self, kind: str, on_objects: _store_follower.OnObjects
+    ) -> _store_follower.StoreFollower:
+        return _store_follower.StoreFollower(
+            self.store,
+            kind,
+            on_objects=on_objects,
+            balancers=lambda: len(self.core.peers) + 1,
+            log=self.log,
+            rng=self.rng,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the fabric should send packets here."""
+        return self.core.is_ready
+
+    def start(self) -> None:
+        """Starts all tasks."""
+        super().start()
+        self._callers.start()
+        self._readiness.start()
+        self._directory.start()
+        for follower in self._followers:
+            follower.start()
+        tasks.spawn("gossip", self._gossip)
+
+    def stop(self) -> None:
+        """Leaves the rotation and forwards until the packets have ended."""
+        self.core.leave()
+        self.perform()
+        self.log.write("stopping", linger_s=LINGER_S)
+        self.log.flush()
+        eventlet.sleep(min(LINGER_S, self.settings.stop_timeout_ms / 1000 / 2))
+        self.stopped()
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state of the process."""
+        now_ms = clock.now_ms()
+        return super().dump() | {
+            "is_ready": self.is_ready,
+            "configuration_revision": self.core.configuration.revision,
+            "configuration_version": self.core.configuration.version,
+            "evacuations_revision": self.core.evacuations.revision,
+            "evacuated": sorted(self.core.evacuations.data_centres),
+            "peers": len(self.core.peers),
+            "agents": {
+                agent.name: agent.heartbeat._asdict()
+                | {"heard_ms_ago": now_ms - agent.heard_ms}
+                for agent in self.core.agents
+            },
+        }
+
+    # Packets and messages.
+
+    def _on_packet(self, data: bytes, source: tuple[str, int]) -> None:
+        try:
+            received = packets.decode_from_caller(data)
+        except errors.DatagramError as error:
+            self.drop(error.reason, source[0])
+            return
+        self.core.on_packet(received, clock.now_ms())
+        self.perform()
+
+    def on_message(
+        self, message: messages.Message, source: messages.Address
+    ) -> None:
+        """Takes a message of an agent or another balancer.
+
+        Raises:
+            DatagramError: It carries a packet that cannot be decoded.
+        """
+        now_ms = clock.now_ms()
+        match message:
+            case messages.Missed(agent, data):
+                received = packets.decode_from_caller(data)
+                self.core.on_missed(agent, received, now_ms)
+            case _:
+                self.core.on_message(message, now_ms)
+
+    # Configuration.
+
+    def _on_configuration(
+        self, objects: dict[str, store_module.Object], revision: int
+    ) -> None:
+        found = objects.get(configuration.CONFIGURATION_NAME)
+        if found is not None:
+            self._apply_configuration(found.value, found.revision, "store")
+
+    def _apply_configuration(
+        self, value: Any, revision: int, source: str
+    ) -> None:
+        if revision <= self.core.configuration.revision:
+            return
+        try:
+            decoded = configuration.decode(value, revision)
+        except errors.ConfigurationError as error:
+            self.log.write(
+                "configuration_refused",
+                revision=revision,
+                source=source,
+                reason=str(error),
+            )
+            return
+        self._held["configuration"] = {"revision": revision, "value": value}
+        self.core.set_configuration(decoded, clock.now_ms(), source=source)
+        self._tell_agents()
+
+    def _on_evacuations(
+        self, objects: dict[str, store_module.Object], revision: int
+    ) -> None:
+        self._apply_evacuations(frozenset(objects), revision, "store")
+
+    def _apply_evacuations(
+        self, data_centres: frozenset[str], revision: int, source: str
+    ) -> None:
+        held = self.core.evacuations
+        is_changed = data_centres != held.data_centres or not held.revision
+        changed = revision if is_changed else held.changed_revision
+        evacuations = routes.Evacuations(revision, data_centres, changed)
+        if self.core.set_evacuations(evacuations, source=source):
+            self._held["evacuations"] = {
+                "revision": revision,
+                "data_centres": sorted(data_centres),
+            }
+            if is_changed:
+                self._tell_agents()
+
+    def _tell_agents(self) -> None:
+        self.core.acknowledge_all()
+        self.core.gossip(clock.now_ms())
+        self.perform()
+
+    def _replica(self) -> dict[str, Any]:
+        return self._held
+
+    def fetch_replica(self, address: messages.Address) -> None:
+        """Fetches configuration and evacuations from another balancer."""
+        if self._is_fetching:
+            return
+        self._is_fetching = True
+        source = address.ip
+        try:
+            response = self._http.request(
+                "GET", f"http://{address.ip}:{address.port}{REPLICA_PATH}"
+            )
+            fetched = json.loads(response.data)
+            self._take_replica(fetched, source)
+        except (
+            urllib3.exceptions.HTTPError,
+            OSError,
+            ValueError,
+            KeyError,
+            TypeError,
+        ) as error:
+            self.log.write(
+                "replica_not_fetched",
+                source=source,
+                reason=type(error).__name__,
+            )
+        finally:
+            self._is_fetching = False
+
+    def _take_replica(self, fetched: dict[str, Any], source: str) -> None:
+        held = fetched.get("configuration")
+        if held is not None:
+            self._apply_configuration(held["value"], held["revision"], source)
+        out = fetched.get("evacuations")
+        if out is not None and out["revision"] > self.core.evacuations.revision:
+            self._apply_evacuations(
+                frozenset(out["data_centres"]), out["revision"], source
+            )
+
+    # Other daemons.
+
+    def on_entries(self, entries: list[_directory.Entry]) -> None:
+        """Introduces this balancer to the daemons of the directory."""
+        now_ms = clock.now_ms()
+        for entry in entries:
+            if entry.role == "balancer":
+                self.core.add_peer(entry.address, now_ms)
+            elif entry.role == "agent":
+                self.core.add_agent(entry.address, now_ms)
+        self.perform()
+
+    def is_alone(self) -> bool:
+        """Tells whether the directory may name agents not heard yet."""
+        return True
+
+    def _gossip(self) -> None:
+        while True:
+            eventlet.sleep(GOSSIP_S * self.rng.uniform(0.9, 1.1))
+            self.core.gossip(clock.now_ms())
+            self.perform()
--- /dev/null
+++ b/sapphirelift/_store_follower.py
@@ -0,0 +1,123 @@
+"""Follows the objects of one kind in the platform's store."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+
+from sapphirelift import clock
+from sapphirelift import decision_log
+from sapphirelift import errors
+from sapphirelift import tasks
+from sapphirelift.core import backoff
+from sapphirelift.platform import store as store_module
+
+# Objects by name with their revision and value, and the store's revision.
+OnObjects = Callable[[dict[str, store_module.Object], int], None]
+
+# A connection can go silent for good. With one watch of several balancers
+# renewed at any time, a change reaches all by way of the others.
+MIN_WAIT_MS = 3000
+MAX_WAIT_MS = 20_000
+WAIT_MS_PER_BALANCER = 1500
+MAX_DELAY_S = 2.0
+
+
+def wait_ms(balancers: int, rng: random.Random) -> int:
+    """Returns how long a watch waits, with jitter.
+
+    Args:
+        balancers: Number of balancers that watch.
+        rng: Source of the jitter.
+    """
+    base_ms = min(
+        max(WAIT_MS_PER_BALANCER * balancers, MIN_WAIT_MS), MAX_WAIT_MS
+    )
+    return round(base_ms * rng.uniform(0.75, 1.25))
+
+
+class StoreFollower:
+    """Keeps the objects of a kind by list and watch.
+
+    Attributes:
+        is_connected: Whether the last call was answered.
+    """
+
+    def __init__(
+        self,
+        store: store_module.Store,
+        kind: str,
+        *,
+        on_objects: OnObjects,
+        balancers: Callable[[], int],
+        log: decision_log.DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self.is_connected = True
+        self._store = store
+        self._kind = kind
+        self._on_objects = on_objects
+        self._balancers = balancers
+        self._log = log
+        self._rng = rng
+        self._objects: dict[str, store_module.Object] = {}
+        self._revision: int | None = None
+        self._answered_ms = clock.now_ms()
+
+    def start(self) -> None:
+        """Starts to follow."""
+        tasks.spawn(f"follow_{self._kind}", self._run)
+
+    def _run(self) -> None:
+        delays = backoff.Backoff(self._rng, max_s=MAX_DELAY_S)
+        while True:
+            try:
+                self._step()
+            except errors.PlatformUnavailableError as error:
+                self._note(False, reason=str(error))
+                eventlet.sleep(delays.next_s())
+            else:
+                self._note(True)
+                delays.reset()
+
+    def _step(self) -> None:
+        if self._revision is None:
+            listing = self._store.list_kind(self._kind)
+            self._objects = {item.name: item for item in listing.objects}
+            self._revision = listing.revision
+            self._on_objects(self._objects, self._revision)
+            return
+        found = self._store.watch(
+            self._kind,
+            since=self._revision,
+            wait_ms=wait_ms(self._balancers(), self._rng),
+        )
+        if found is None:
+            self._log.write(
+                "history_lost", kind=self._kind, revision=self._revision
+            )
+            self._revision = None
+            return
+        for change in found.changes:
+            if change.is_deleted:
+                self._objects.pop(change.object.name, None)
+            else:
+                self._objects[change.object.name] = change.object
+        self._revision = max(found.revision, self._revision)
+        self._on_objects(self._objects, self._revision)
+
+    def _note(self, is_connected: bool, **fields: Any) -> None:
+        now_ms = clock.now_ms()
+        if is_connected != self.is_connected:
+            self.is_connected = is_connected
+            event = "store_regained" if is_connected else "store_lost"
+            self._log.write(
+                event,
+                kind=self._kind,
+                revision=self._revision,
+                unanswered_ms=now_ms - self._answered_ms,
+                **fields,
+            )
+        if is_connected:
+            self._answered_ms = now_ms
--- /dev/null
+++ b/sapphirelift/core/l4/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about packets of end-to-end flows, without I/O or clocks."""
--- /dev/null
+++ b/sapphirelift/core/l4/agent.py
@@ -0,0 +1,637 @@
+"""Agent: owns the flows of the backend server beside it.
+
+All packets of the backend server pass through the agent in both directions,
+so its table tells which flows there are.
+"""
+
+import collections
+from typing import NamedTuple
+
+from sapphirelift.core.l4 import actions
+from sapphirelift.core.l4 import agents
+from sapphirelift.core.l4 import backend as backend_module
+from sapphirelift.core.l4 import flow_table
+from sapphirelift.core.l4 import messages
+from sapphirelift.core.l4 import packet
+
+_Phase = flow_table.Phase
+
+# The backend server answers an opening packet within a millisecond, but its
+# instance stalls for up to 100 ms when its processor quota is used up.
+ACCEPT_MS = 80
+# Opening packets without an answer in a row after which the backend server
+# is taken to be unresponsive, and for how long.
+UNANSWERED_OPENS = 2
+UNRESPONSIVE_MS = 500
+# Weight of a new figure in averages.
+RESPONSE_WEIGHT = 0.1
+# Time constant of the average of requests in progress.
+BUSY_AVERAGE_MS = 1000
+MAX_BALANCERS = 1024
+# A balancer that has been silent for this long gets fewer heartbeats, and
+# after the second time none.
+SILENT_BALANCER_MS = 3000
+FORGET_BALANCER_MS = 60_000
+SILENT_BALANCER_BEATS = 4
+# An agent and its backend server start together; a backend server that is
+# older has had flows through an earlier incarnation of the agent.
+START_TOLERANCE_MS = 1500
+
+
+class Identity(NamedTuple):
+    """Names and place of an agent."""
+
+    name: str
+    address: messages.Address
+    incarnation: int
+    service: str
+    data_centre: str
+    region: str
+
+
+class Agent:
+    """Decisions of one agent.
+
+    Attributes:
+        backend: The backend server beside it.
+        flows: Its flows.
+        balancers: When each balancer was last heard.
+        counters: Events by name.
+        response_times_ms: Times from a request to its answer since they
+            were last taken, for a histogram.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        *,
+        report_interval_ms: int,
+        started_unix_ms: int,
+        is_first_start: bool,
+        now_ms: int,
+    ) -> None:
+        """Creates an agent without flows.
+
+        Args:
+            identity: Names and place.
+            report_interval_ms: Interval of the backend server's reports.
+            started_unix_ms: Wall clock at the start.
+            is_first_start: Whether the whole system starts for the first
+                time, so that there are no earlier flows.
+            now_ms: Current time.
+        """
+        self.identity = identity
+        self.backend = backend_module.Backend(
+            report_interval_ms=report_interval_ms
+        )
+        self.flows = flow_table.FlowTable()
+        self.balancers: dict[messages.Address, int] = {}
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.response_times_ms: collections.deque[int] = collections.deque(
+            maxlen=1024
+        )
+        self._report_interval_ms = report_interval_ms
+        self._started_unix_ms = started_unix_ms
+        self._has_full_table = is_first_start
+        self._is_leaving = False
+        self._is_evacuated = False
+        self._evacuations_revision = 0
+        self._configuration_revision = 0
+        self._max_flows = 0
+        self._idle_timeout_ms = 15_000
+        self._beats = 0
+        self._number = 0
+        self._unanswered = 0
+        self._unresponsive_until_ms = 0
+        self._busy = 0
+        self._busy_average = 0.0
+        self._busy_ms = now_ms
+        self._response_ms = 0.0
+        self._state = agents.UNAVAILABLE
+        self._actions: list[actions.Action] = []
+
+    def drain_actions(self) -> list[actions.Action]:
+        """Returns the actions decided since the last call."""
+        decided, self._actions = self._actions, []
+        return decided
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether ``tick`` has something to do soon."""
+        return self.flows.has_opening
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the backend server has left."""
+        return self.backend.is_gone
+
+    def dump(self, now_ms: int) -> dict[str, object]:
+        """Returns the state for operators."""
+        return {
+            "state": self.state(now_ms),
+            "flows": self.flows.open_flows,
+            "table": len(self.flows),
+            "busy": self._busy,
+            "response_ms": round(self._response_ms, 1),
+            "balancers": len(self.balancers),
+            "has_full_table": self._has_full_table,
+            "is_evacuated": self._is_evacuated,
+            "evacuations_revision": self._evacuations_revision,
+            "configuration_revision": self._configuration_revision,
+            "backend": self.backend.report,
+        }
+
+    # The backend server.
+
+    def on_report(self, report: backend_module.Report, now_ms: int) -> None:
+        """Takes a report of the backend server."""
+        former = self.backend.report
+        if not self.backend.hear(report, now_ms):
+            self.counters["reports_overtaken"] += 1
+            self._log(
+                "report_overtaken",
+                backend=report.backend_id,
+                number=report.number,
+                born_ms=report.born_ms,
+            )
+            return
+        if former is None or (former.backend_id, former.born_ms) != (
+            report.backend_id,
+            report.born_ms,
+        ):
+            self._on_new_backend(former, report)
+        self._note_state(now_ms)
+
+    def _on_new_backend(
+        self,
+        former: backend_module.Report | None,
+        report: backend_module.Report,
+    ) -> None:
+        """Starts to follow another start of the backend server."""
+        if (
+            former is not None
+            or report.born_ms >= self._started_unix_ms - START_TOLERANCE_MS
+        ):
+            self._has_full_table = True
+        self._unanswered = 0
+        self._unresponsive_until_ms = 0
+        self._log(
+            "backend_found",
+            backend=report.backend_id,
+            born_ms=report.born_ms,
+            service=report.service,
+            cold_ms=report.cold_ms,
+            has_full_table=self._has_full_table,
+            former=former.backend_id if former is not None else None,
+        )
+
+    def on_end(self, backend_id: str, now_ms: int) -> None:
+        """Takes the news that the backend server leaves now."""
+        if self.backend.end(backend_id):
+            self._log("backend_left", backend=backend_id)
+            self._note_state(now_ms)
+
+    def state(self, now_ms: int) -> str:
+        """Returns the state that balancers see."""
+        if self._is_leaving:
+            return agents.LEAVING
+        if now_ms < self._unresponsive_until_ms:
+            return agents.UNAVAILABLE
+        return self.backend.state(now_ms)
+
+    def _note_state(self, now_ms: int) -> None:
+        """Tells the balancers at once when the state has changed."""
+        state = self.state(now_ms)
+        if state == self._state:
+            return
+        report = self.backend.report
+        self._log(
+            "backend_state",
+            state=state,
+            former_state=self._state,
+            report_number=report.number if report is not None else None,
+        )
+        self._state = state
+        self.beat(now_ms)
+
+    def leave(self, now_ms: int) -> None:
+        """Announces that the agent is about to stop."""
+        self._is_leaving = True
+        self._note_state(now_ms)
+
+    # Packets of the backend server.
+
+    def on_backend_packet(self, received: packet.Packet, now_ms: int) -> None:
+        """Takes a packet that the backend server has sent."""
+        self._unanswered = 0
+        if self._unresponsive_until_ms:
+            self._unresponsive_until_ms = 0
+            self._note_state(now_ms)
+        flow = self.flows.get(received.flow)
+        if received.is_syn and received.is_ack:
+            self._on_accepted(received, flow, now_ms)
+            return
+        if flow is None:
+            # Open since before this incarnation of the agent.
+            flow = flow_table.Flow(_Phase.OPEN, messages.Address("", 0), now_ms)
+            self.flows.add(received.flow, flow)
+            self.counters["flows_relearned"] += 1
+        self.flows.use(received.flow, flow, now_ms)
+        if received.payload_bytes and flow.request_ms is not None:
+            self._on_response(flow, now_ms)
+        if received.is_fin or received.is_reset:
+            self._end(received.flow, flow, now_ms)
+        self._actions.append(actions.SendCaller(received))
+
+    def _on_accepted(
+        self,
+        received: packet.Packet,
+        flow: flow_table.Flow | None,
+        now_ms: int,
+    ) -> None:
+        if flow is None:
+            # Passed on to another agent since, or unknown after a restart.
+            self.counters["late_accepts_dropped"] += 1
+            return
+        flow.initial_sequence = received.sequence
+        self.flows.use(received.flow, flow, now_ms)
+        if flow.phase is _Phase.OPENING:
+            self.flows.move(received.flow, flow, _Phase.ACCEPTED)
+            self.counters["flows_accepted"] += 1
+            self._log(
+                "flow_accepted",
+                flow=str(received.flow),
+                flows=self.flows.open_flows,
+                busy=self._busy,
+                waited_ms=now_ms - flow.sent_ms,
+            )
+            self._tell_opened(received.flow, flow)
+        self._actions.append(actions.SendCaller(received))
+
+    def _tell_opened(self, key: packet.FlowKey, flow: flow_table.Flow) -> None:
+        if flow.initial_sequence is None:
+            return
+        opened = messages.Opened(
+            key,
+            self.identity.address,
+            flow.initial_sequence,
+            self.flows.open_flows,
+        )
+        self._send(flow.balancer, opened)
+
+    def on_bounced(self, received: packet.Packet, now_ms: int) -> None:
+        """Takes a caller's packet that the backend server has sent back.
+
+        Args:
+            received: The packet, as the caller sent it.
+            now_ms: Current time.
+        """
+        self._unanswered = 0
+        key = received.flow
+        flow = self.flows.get(key)
+        if received.is_syn:
+            self.counters["opens_bounced"] += 1
+            if flow is not None and flow.phase is _Phase.OPENING:
+                self._pass_on(key, flow, "backend_refused", now_ms)
+            return
+        self.counters["packets_bounced"] += 1
+        if flow is None:
+            return
+        is_probe = flow.caller_sequence is None
+        balancer = flow.balancer
+        phase = flow.phase
+        self._set_idle(flow, now_ms)
+        self.flows.remove(key)
+        if is_probe or phase is not _Phase.OPEN:
+            # Never held here, as far as is known.
+            missed = messages.Missed(self.identity.address, received.raw)
+            self._send(balancer, missed)
+            return
+        # The backend server has lost the flow, for example by a restart.
+        self.counters["resets_flow_lost"] += 1
+        self._log("flow_lost_by_backend", flow=str(key), outcome="reset")
+        self._reset(received)
+
+    def _reset(self, received: packet.Packet) -> None:
+        if not received.is_reset:
+            self._actions.append(
+                actions.ResetCaller(received.flow, received.acknowledged)
+            )
+
+    # Packets of callers.
+
+    def on_open(
+        self, opened: messages.Open, received: packet.Packet, now_ms: int
+    ) -> None:
+        """Takes an opening packet."""
+        key = received.flow
+        flow = self.flows.get(key)
+        if flow is not None and flow.caller_sequence == received.sequence:
+            flow.balancer = opened.balancer
+            if flow.phase is not _Phase.OPENING:
+                self._tell_opened(key, flow)
+            self._actions.append(actions.SendBackend(opened.data))
+            return
+        reason, wait_ms = self._refusal(opened.service, now_ms)
+        if reason:
+            self._refuse(key, opened, reason, wait_ms)
+            return
+        if flow is not None:
+            self._set_idle(flow, now_ms)
+        self.flows.add(
+            key,
+            flow_table.Flow(
+                _Phase.OPENING,
+                opened.balancer,
+                now_ms,
+                caller_sequence=received.sequence,
+                others=tuple(opened.others),
+                opening_data=opened.data,
+                sent_ms=now_ms,
+            ),
+        )
+        self.backend.opened(now_ms)
+        self.counters["opens"] += 1
+        self._actions.append(actions.SendBackend(opened.data))
+
+    def _refusal(self, service: str, now_ms: int) -> tuple[str, int]:
+        """Returns why a flow may not open here, empty if it may.
+
+        Returns:
+            The reason, and when it may be tried again in milliseconds.
+        """
+        report = self.backend.report
+        if service != self.identity.service or (
+            report is not None and report.service != service
+        ):
+            return "wrong_service", 0
+        state = self.state(now_ms)
+        if state != agents.READY:
+            return state, 0
+        if self._is_evacuated:
+            return "evacuated", 0
+        if 0 < self._max_flows <= self.flows.open_flows:
+            return "full", 0
+        wait_ms = self.backend.open_wait_ms(now_ms)
+        return ("cold", wait_ms) if wait_ms else ("", 0)
+
+    def _refuse(
+        self,
+        key: packet.FlowKey,
+        opened: messages.Open,
+        reason: str,
+        wait_ms: int,
+    ) -> None:
+        """Hands an opening packet to the next agent, or refuses it."""
+        self.counters[f"opens_passed_on_{reason}"] += 1
+        self._log(
+            "open_passed_on",
+            flow=str(key),
+            reason=reason,
+            others=len(opened.others),
+            flows=self.flows.open_flows,
+        )
+        if opened.others:
+            onward = opened._replace(others=tuple(opened.others[1:]))
+            self._send(opened.others[0], onward)
+            return
+        refused = messages.Refused(key, self.identity.address, reason, wait_ms)
+        self._send(opened.balancer, refused)
+
+    def _pass_on(
+        self,
+        key: packet.FlowKey,
+        flow: flow_table.Flow,
+        reason: str,
+        now_ms: int,
+    ) -> None:
+        """Gives a flow up that the backend server has not accepted."""
+        self.flows.remove(key)
+        opened = messages.Open(
+            self.identity.service,
+            flow.balancer,
+            flow.others,
+            flow.opening_data,
+        )
+        self._refuse(key, opened, reason, 0)
+
+    def on_deliver(
+        self,
+        deliver: messages.Deliver,
+        received: packet.Packet,
+        now_ms: int,
+    ) -> None:
+        """Takes a later packet of a flow."""
+        key = received.flow
+        flow = self.flows.get(key)
+        if flow is None:
+            if self._has_full_table:
+                self.counters["packets_missed"] += 1
+                missed = messages.Missed(self.identity.address, deliver.data)
+                self._send(deliver.balancer, missed)
+                return
+            self.counters["packets_probed"] += 1
+            flow = flow_table.Flow(_Phase.OPEN, deliver.balancer, now_ms)
+            self.flows.add(key, flow)
+        if flow.phase is _Phase.ACCEPTED and not self._confirm(
+            flow, received, deliver
+        ):
+            return
+        if flow.phase is _Phase.ACCEPTED:
+            self.flows.move(key, flow, _Phase.OPEN)
+        flow.balancer = deliver.balancer
+        self.flows.use(key, flow, now_ms)
+        if received.payload_bytes and flow.request_ms is None:
+            self._set_busy(flow, now_ms)
+        if received.is_reset:
+            self._end(key, flow, now_ms)
+        self._actions.append(actions.SendBackend(deliver.data))
+
+    def _confirm(
+        self,
+        flow: flow_table.Flow,
+        received: packet.Packet,
+        deliver: messages.Deliver,
+    ) -> bool:
+        """Tells whether the caller has taken the flow that opened here."""
+        assert flow.initial_sequence is not None
+        first_byte = (flow.initial_sequence + 1) & 0xFFFFFFFF
+        if received.is_reset or received.acknowledged == first_byte:
+            return True
+        self.counters["opened_elsewhere"] += 1
+        missed = messages.Missed(self.identity.address, deliver.data)
+        self._send(deliver.balancer, missed)
+        return False
+
+    def on_ask(
+        self, ask: messages.Ask, sender: messages.Address, now_ms: int
+    ) -> None:
+        """Tells a balancer whether a flow is here."""
+        flow = self.flows.get(ask.flow)
+        if flow is not None and flow.phase is not _Phase.OPENING:
+            verdict = messages.OWNS
+        elif self._has_full_table:
+            verdict = messages.OWNS_NOT
+        else:
+            verdict = messages.MAY_OWN
+        answer = messages.Answer(ask.flow, self.identity.address, verdict)
+        self._send(sender, answer)
+
+    # Load.
+
+    def _average_busy(self, now_ms: int) -> None:
+        passed_ms = now_ms - self._busy_ms
+        if passed_ms > 0:
+            share = min(passed_ms / BUSY_AVERAGE_MS, 1.0)
+            self._busy_average += share * (self._busy - self._busy_average)
+            self._busy_ms = now_ms
+
+    def _set_busy(self, flow: flow_table.Flow, now_ms: int) -> None:
+        self._average_busy(now_ms)
+        flow.request_ms = now_ms
+        self._busy += 1
+
+    def _set_idle(self, flow: flow_table.Flow, now_ms: int) -> None:
+        if flow.request_ms is not None:
+            self._average_busy(now_ms)
+            flow.request_ms = None
+            self._busy -= 1
+
+    def _on_response(self, flow: flow_table.Flow, now_ms: int) -> None:
+        assert flow.request_ms is not None
+        took_ms = now_ms - flow.request_ms
+        self._set_idle(flow, now_ms)
+        self.response_times_ms.append(took_ms)
+        self._response_ms += RESPONSE_WEIGHT * (took_ms - self._response_ms)
+
+    def _end(
+        self, key: packet.FlowKey, flow: flow_table.Flow, now_ms: int
+    ) -> None:
+        self._set_idle(flow, now_ms)
+        self.flows.move(key, flow, _Phase.ENDED)
+
+    # Balancers.
+
+    def add_balancer(self, address: messages.Address, now_ms: int) -> bool:
+        """Starts to send heartbeats to a balancer; returns whether new."""
+        if address in self.balancers or len(self.balancers) >= MAX_BALANCERS:
+            return False
+        self.balancers[address] = now_ms
+        self._log("balancer_found", ip=address.ip)
+        self._beat_to(address, now_ms)
+        return True
+
+    def on_hello(self, hello: messages.Hello, now_ms: int) -> None:
+        """Answers a balancer that introduces itself."""
+        if not self.add_balancer(hello.balancer, now_ms):
+            self.balancers[hello.balancer] = now_ms
+            self._beat_to(hello.balancer, now_ms)
+
+    def on_ack(self, ack: messages.HeartbeatAck, now_ms: int) -> None:
+        """Takes what a balancer has in force."""
+        if ack.is_leaving:
+            self.balancers.pop(ack.balancer, None)
+        else:
+            self.balancers[ack.balancer] = now_ms
+        for address in ack.balancers:
+            self.add_balancer(address, now_ms)
+        if ack.configuration_revision > self._configuration_revision:
+            self._configuration_revision = ack.configuration_revision
+            self.backend.cold_opens_per_s = ack.cold_opens_per_s
+            self._max_flows = ack.max_flows
+            self._idle_timeout_ms = ack.idle_timeout_ms
+            self._log(
+                "configuration_in_force",
+                revision=ack.configuration_revision,
+                cold_opens_per_s=ack.cold_opens_per_s,
+                idle_timeout_ms=ack.idle_timeout_ms,
+            )
+        if ack.evacuations_revision > self._evacuations_revision:
+            self._evacuations_revision = ack.evacuations_revision
+            self._set_evacuated(ack.is_evacuated, now_ms)
+
+    def _set_evacuated(self, is_evacuated: bool, now_ms: int) -> None:
+        if is_evacuated == self._is_evacuated:
+            return
+        self._is_evacuated = is_evacuated
+        if not is_evacuated:
+            # It may have become cold meanwhile and not said so yet.
+            self.backend.assume_cold(now_ms, 2 * self._report_interval_ms)
+        self._log(
+            "evacuated" if is_evacuated else "evacuation_ended",
+            data_centre=self.identity.data_centre,
+            revision=self._evacuations_revision,
+        )
+
+    def hears_balancers(self, now_ms: int) -> bool:
+        """Tells whether a balancer has been heard lately."""
+        return any(
+            now_ms - heard_ms <= SILENT_BALANCER_MS
+            for heard_ms in self.balancers.values()
+        )
+
+    def beat(self, now_ms: int) -> None:
+        """Sends a heartbeat to the balancers, to silent ones less often."""
+        self._beats += 1
+        for address, heard_ms in list(self.balancers.items()):
+            silent_ms = now_ms - heard_ms
+            if silent_ms > FORGET_BALANCER_MS:
+                del self.balancers[address]
+                self._log("balancer_forgotten", ip=address.ip)
+            elif (
+                silent_ms <= SILENT_BALANCER_MS
+                or self._beats % SILENT_BALANCER_BEATS == 0
+            ):
+                self._beat_to(address, now_ms)
+
+    def _beat_to(self, address: messages.Address, now_ms: int) -> None:
+        self._send(address, self.heartbeat(now_ms))
+
+    def heartbeat(self, now_ms: int) -> messages.Heartbeat:
+        """Returns the state for balancers; each one is newer."""
+        self._average_busy(now_ms)
+        self._number += 1
+        report = self.backend.report
+        return messages.Heartbeat(
+            name=self.identity.name,
+            address=self.identity.address,
+            incarnation=self.identity.incarnation,
+            number=self._number,
+            service=self.identity.service,
+            data_centre=self.identity.data_centre,
+            region=self.identity.region,
+            state=self.state(now_ms),
+            slots=report.slots if report is not None else 1,
+            flows=self.flows.open_flows,
+            busy=round(self._busy_average, 2),
+            response_ms=round(self._response_ms, 1),
+            cold_ms=self.backend.cold_ms(now_ms),
+            has_full_table=self._has_full_table,
+        )
+
+    # Time.
+
+    def tick(self, now_ms: int) -> None:
+        """Acts on what has taken too long; to be called each 20 ms."""
+        for key, flow in self.flows.opening():
+            if now_ms - flow.sent_ms < ACCEPT_MS or not flow.others:
+                continue
+            self._unanswered += 1
+            if self._unanswered >= UNANSWERED_OPENS:
+                self._unresponsive_until_ms = now_ms + UNRESPONSIVE_MS
+            self._pass_on(key, flow, "unanswered", now_ms)
+        self._note_state(now_ms)
+
+    def sweep(self, now_ms: int) -> None:
+        """Discards what is out of date; to be called each second."""
+        self.flows.sweep(now_ms, idle_timeout_ms=self._idle_timeout_ms)
+        self._note_state(now_ms)
+
+    def _send(
+        self, address: messages.Address, message: messages.Message
+    ) -> None:
+        if address.port:
+            self._actions.append(actions.SendDaemon(address, message))
+
+    def _log(self, event: str, **fields: object) -> None:
+        self._actions.append(actions.Log(event, fields))
--- /dev/null
+++ b/sapphirelift/core/l4/backend.py
@@ -0,0 +1,124 @@
+"""The backend server beside an agent, as its own reports describe it."""
+
+import collections
+from typing import NamedTuple
+
+from sapphirelift.core.l4 import agents
+
+# A report may be repeated once at another daemon after 1 s without an
+# acknowledgement; three intervals of silence are no delay any more.
+SILENT_INTERVALS = 3
+# New flows that a cold backend server gets in one second besides its rate.
+# The platform's bound allows 5 besides 1.5 times the rate.
+COLD_EXTRA_OPENS = 3
+COLD_WINDOW_MS = 1000
+
+
+class Report(NamedTuple):
+    """What a backend server says of itself.
+
+    Attributes:
+        backend_id: Its name.
+        born_ms: Its start by its own wall clock, Unix milliseconds.
+        number: Counts its reports since its start.
+        slots: Requests that it runs at once.
+        is_draining: Whether it is about to leave.
+        cold_ms: How long it stays cold.
+    """
+
+    backend_id: str
+    born_ms: int
+    number: int
+    service: str
+    data_centre: str
+    slots: int
+    is_draining: bool
+    cold_ms: int
+
+
+class Backend:
+    """State of the backend server, from its reports.
+
+    Attributes:
+        report: Its newest report, None before the first one.
+    """
+
+    def __init__(
+        self, *, report_interval_ms: int, cold_opens_per_s: float = 0.0
+    ) -> None:
+        self.report: Report | None = None
+        self.cold_opens_per_s = cold_opens_per_s
+        self._silent_after_ms = report_interval_ms * SILENT_INTERVALS
+        self._heard_ms = 0
+        self._is_gone = False
+        self._cold_until_ms = 0
+        self._opens: collections.deque[int] = collections.deque()
+
+    def hear(self, report: Report, now_ms: int) -> bool:
+        """Takes a report.
+
+        Returns:
+            False for a report that has been overtaken: of a start before
+            the current one, older than the newest, or after the end.
+        """
+        held = self.report
+        if held is not None:
+            if report.born_ms < held.born_ms:
+                return False
+            if (report.backend_id, report.born_ms) == (
+                held.backend_id,
+                held.born_ms,
+            ) and (self._is_gone or report.number <= held.number):
+                return False
+        self.report = report
+        self._heard_ms = now_ms
+        self._is_gone = False
+        self._cold_until_ms = now_ms + report.cold_ms
+        return True
+
+    def end(self, backend_id: str) -> bool:
+        """Takes the news that a backend server has left for good."""
+        if self.report is None or self.report.backend_id != backend_id:
+            return False
+        self._is_gone = True
+        return True
+
+    def assume_cold(self, now_ms: int, for_ms: int) -> None:
+        """Treats the backend server as cold until its next report."""
+        self._cold_until_ms = max(self._cold_until_ms, now_ms + for_ms)
+
+    def state(self, now_ms: int) -> str:
+        """Returns one of the states of ``core.l4.agents``."""
+        if (
+            self.report is None
+            or self._is_gone
+            or now_ms - self._heard_ms > self._silent_after_ms
+        ):
+            return agents.UNAVAILABLE
+        return agents.DRAINING if self.report.is_draining else agents.READY
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether it has said that it has left."""
+        return self._is_gone
+
+    def cold_ms(self, now_ms: int) -> int:
+        """Returns the time until it is warm."""
+        return max(self._cold_until_ms - now_ms, 0)
+
+    def open_wait_ms(self, now_ms: int) -> int:
+        """Returns how long a new flow has to wait; 0 if it may open now."""
+        while self._opens and now_ms - self._opens[0] >= COLD_WINDOW_MS:
+            self._opens.popleft()
+        if self.cold_ms(now_ms) == 0:
+            return 0
+        limit = int(self.cold_opens_per_s) + COLD_EXTRA_OPENS
+        if len(self._opens) < limit:
+            return 0
+        return self._opens[len(self._opens) - limit] + COLD_WINDOW_MS - now_ms
+
+    def opened(self, now_ms: int) -> None:
+        """Counts a new flow."""
+        self._opens.append(now_ms)
+        while now_ms - self._opens[0] >= COLD_WINDOW_MS:
+            self._opens.popleft()
--- /dev/null
+++ b/sapphirelift/core/l4/balancer.py
@@ -0,0 +1,723 @@
+"""Balancer: gives each packet of a caller to the agent that owns its flow.
+
+A balancer keeps a cache of owners, which it may lose at any time. It asks
+the agents for the owner of a flow that it does not know.
+"""
+
+import collections
+import dataclasses
+import random
+
+from sapphirelift.core.l4 import actions
+from sapphirelift.core.l4 import agents
+from sapphirelift.core.l4 import lookup
+from sapphirelift.core.l4 import messages
+from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import placement
+from sapphirelift.core.l4 import routes
+
+# An agent answers an opening packet once its backend server has. Instances
+# stall for up to 100 ms when their processor quota is used up; callers repeat
+# an opening packet after 200 ms.
+OPEN_ANSWER_MS = 120
+# Callers give an opening packet up after 1.4 s.
+OPEN_LIFETIME_MS = 1500
+# Five times the open flows of an entry instance at the design size.
+MAX_OWNERS = 60_000
+MAX_OPENINGS = 4096
+# A balancer that has just started answers no opening packet with a reset
+# before its agents had the time to send heartbeats.
+SETTLE_MS = 3000
+MAX_PEERS = 1024
+# Balancers that an acknowledgement names to agents.
+MAX_NAMED_BALANCERS = 16
+# Agents that an exchange with a peer names.
+MAX_NAMED_AGENTS = 16
+# Peers and silent agents that one round of gossip reaches. With a round each
+# 500 ms, a change reaches 840 balancers in 5 rounds.
+GOSSIP_PEERS = 5
+GOSSIP_HELLOS = 16
+SILENT_PEER_MS = 3000
+FORGET_PEER_MS = 120_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Owner:
+    """Where a flow is.
+
+    Attributes:
+        caller_sequence: Sequence number of its opening packet, None if the
+            owner was found by asking.
+        initial_sequence: First sequence number of the backend server, None
+            if not known.
+        alternative: A second agent whose backend server has accepted a copy
+            of the opening packet, with its first sequence number.
+    """
+
+    address: messages.Address
+    caller_sequence: int | None = None
+    initial_sequence: int | None = None
+    alternative: tuple[messages.Address, int] | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Opening:
+    """An opening packet that no agent has answered yet."""
+
+    data: bytes
+    service: str
+    caller_sequence: int
+    candidates: list[messages.Address]
+    started_ms: int
+    sent_ms: int
+    index: int = 0
+
+
+class Balancer:
+    """Decisions of one balancer.
+
+    Attributes:
+        configuration: Configuration in force.
+        evacuations: Data centres that are out.
+        counters: Events by name.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: messages.Address,
+        replica: messages.Address,
+        now_ms: int,
+        rng: random.Random,
+    ) -> None:
+        """Creates a balancer that knows nobody.
+
+        Args:
+            address: Where it receives messages.
+            replica: Where it serves its configuration.
+            now_ms: Current time.
+            rng: Source of the choice of peers.
+        """
+        self.configuration = routes.Configuration()
+        self.evacuations = routes.Evacuations()
+        self.agents = agents.Agents()
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.is_leaving = False
+        self.peers: dict[messages.Address, int] = {}
+        self._address = address
+        self._replica = replica
+        self._rng = rng
+        self._unheard: dict[messages.Address, int] = {}
+        self._started_ms = now_ms
+        self._owners: collections.OrderedDict[packet.FlowKey, _Owner] = (
+            collections.OrderedDict()
+        )
+        self._openings: dict[packet.FlowKey, _Opening] = {}
+        self._lookups = lookup.Lookups(self.counters)
+        self._removed_routes: dict[routes.RouteKey, int] = {}
+        self._actions: list[actions.Action] = []
+
+    def drain_actions(self) -> list[actions.Action]:
+        """Returns the actions decided since the last call."""
+        decided, self._actions = self._actions, []
+        return decided
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer can place flows."""
+        return (
+            not self.is_leaving
+            and self.configuration.revision > 0
+            and self.evacuations.revision > 0
+            and len(self.agents) > 0
+        )
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether ``tick`` has something to do soon."""
+        return bool(self._openings) or self._lookups.has_pending
+
+    # Beliefs.
+
+    def set_configuration(
+        self, configuration: routes.Configuration, now_ms: int, *, source: str
+    ) -> bool:
+        """Brings a newer configuration into force; refuses an older one."""
+        held = self.configuration
+        if configuration.revision <= held.revision:
+            return False
+        for key in held.routes.keys() - configuration.routes.keys():
+            self._removed_routes[key] = now_ms
+        for key in configuration.routes:
+            self._removed_routes.pop(key, None)
+        self.configuration = configuration
+        self._log(
+            "configuration_in_force",
+            version=configuration.version,
+            revision=configuration.revision,
+            former_revision=held.revision,
+            routes=len(configuration.routes),
+            source=source,
+        )
+        return True
+
+    def set_evacuations(
+        self, evacuations: routes.Evacuations, *, source: str
+    ) -> bool:
+        """Brings a newer set of evacuations into force."""
+        held = self.evacuations
+        if evacuations.revision <= held.revision:
+            return False
+        self.evacuations = evacuations
+        if evacuations.data_centres != held.data_centres or not held.revision:
+            self._log(
+                "evacuations_in_force",
+                data_centres=sorted(evacuations.data_centres),
+                revision=evacuations.revision,
+                source=source,
+            )
+        return True
+
+    # Packets of callers.
+
+    def on_packet(self, received: packet.Packet, now_ms: int) -> None:
+        """Takes a packet from a caller."""
+        self.counters["packets"] += 1
+        if received.is_bounced or (received.is_syn and received.is_ack):
+            self.counters["dropped_not_from_caller"] += 1
+        elif received.is_syn:
+            self._on_syn(received, now_ms)
+        else:
+            self._on_later(received, now_ms)
+
+    def _on_syn(self, received: packet.Packet, now_ms: int) -> None:
+        flow = received.flow
+        owner = self._owners.get(flow)
+        if owner is not None:
+            if owner.caller_sequence in (None, received.sequence):
+                self._deliver_open(owner.address, received)
+                return
+            del self._owners[flow]
+        opening = self._openings.get(flow)
+        if opening is not None:
+            if opening.caller_sequence == received.sequence:
+                self._repeat_open(flow, opening, now_ms)
+                return
+            del self._openings[flow]
+        self._open(received, now_ms)
+
+    def _open(self, received: packet.Packet, now_ms: int) -> None:
+        flow = received.flow
+        route = self.configuration.find(flow)
+        if route is None:
+            self._refuse_unrouted(received, now_ms)
+            return
+        service = route.service_for(flow)
+        found = placement.eligible(
+            self.agents,
+            service,
+            route=route,
+            evacuated=self.evacuations.data_centres,
+            now_ms=now_ms,
+        )
+        ranked = placement.rank(flow, found)
+        if not ranked:
+            if now_ms - self._started_ms < SETTLE_MS:
+                self.counters["opens_dropped_settling"] += 1
+                return
+            self.counters["opens_refused_no_agent"] += 1
+            self._log(
+                "open_refused",
+                flow=str(flow),
+                reason="no_agent",
+                service=service,
+                known_agents=len(self.agents.of_services([service])),
+                configuration_revision=self.configuration.revision,
+            )
+            self._reset(received)
+            return
+        if len(self._openings) >= MAX_OPENINGS:
+            self.counters["opens_dropped_table_full"] += 1
+            return
+        opening = _Opening(
+            received.raw,
+            service,
+            received.sequence,
+            [agent.address for agent in ranked],
+            now_ms,
+            now_ms,
+        )
+        self._openings[flow] = opening
+        best = ranked[0]
+        self._log(
+            "open_sent",
+            flow=str(flow),
+            agent=best.name,
+            service=service,
+            flows=best.heartbeat.flows,
+            opens_since=best.opens_since,
+            busy=round(best.heartbeat.busy, 2),
+            load_age_ms=now_ms - best.heard_ms,
+            choices=len(found),
+            configuration_revision=self.configuration.revision,
+        )
+        self._send_open(opening)
+
+    def _send_open(self, opening: _Opening) -> None:
+        address = opening.candidates[opening.index]
+        agent = self.agents.get(address)
+        if agent is not None:
+            agent.opens_since += 1
+        self.counters["opens_sent"] += 1
+        message = messages.Open(
+            opening.service,
+            self._address,
+            tuple(opening.candidates[opening.index + 1 :]),
+            opening.data,
+        )
+        self._actions.append(actions.SendDaemon(address, message))
+
+    def _deliver_open(
+        self, address: messages.Address, received: packet.Packet
+    ) -> None:
+        """Sends a copy of an opening packet to the agent that has opened."""
+        agent = self.agents.get(address)
+        service = agent.heartbeat.service if agent is not None else ""
+        message = messages.Open(service, self._address, (), received.raw)
+        self._actions.append(actions.SendDaemon(address, message))
+
+    def _repeat_open(
+        self, flow: packet.FlowKey, opening: _Opening, now_ms: int
+    ) -> None:
+        if now_ms - opening.sent_ms >= OPEN_ANSWER_MS:
+            self._next_candidate(flow, opening, now_ms)
+        else:
+            self._send_open(opening)
+
+    def _next_candidate(
+        self, flow: packet.FlowKey, opening: _Opening, now_ms: int
+    ) -> None:
+        """Gives an unanswered opening packet to the next agent."""
+        silent = self.agents.get(opening.candidates[opening.index])
+        if silent is not None:
+            silent.unanswered_ms = now_ms
+        self.counters["opens_unanswered"] += 1
+        self._log(
+            "open_unanswered",
+            flow=str(flow),
+            agent=silent.name if silent is not None else None,
+            waited_ms=now_ms - opening.sent_ms,
+        )
+        opening.index = (opening.index + 1) % len(opening.candidates)
+        opening.sent_ms = now_ms
+        self._send_open(opening)
+
+    def _refuse_unrouted(self, received: packet.Packet, now_ms: int) -> None:
+        if self.configuration.revision == 0:
+            self.counters["opens_dropped_settling"] += 1
+            return
+        self.counters["opens_refused_no_route"] += 1
+        self._log(
+            "open_refused",
+            flow=str(received.flow),
+            reason="no_route",
+            configuration_revision=self.configuration.revision,
+        )
+        self._reset(received)
+
+    def _on_later(self, received: packet.Packet, now_ms: int) -> None:
+        flow = received.flow
+        key = routes.RouteKey(flow.route_ip, flow.route_port)
+        if key in self._removed_routes:
+            self.counters["resets_route_removed"] += 1
+            self._owners.pop(flow, None)
+            self._reset(received)
+            return
+        owner = self._owners.get(flow)
+        if owner is not None:
+            self._owners.move_to_end(flow)
+            self._check_alternative(owner, received)
+            self._deliver(owner.address, received)
+            return
+        opening = self._openings.get(flow)
+        if opening is not None:
+            self._deliver(opening.candidates[opening.index], received)
+            return
+        self._look_up(received, now_ms)
+
+    def _check_alternative(
+        self, owner: _Owner, received: packet.Packet
+    ) -> None:
+        """Settles which of two accepted openings the caller has taken."""
+        if owner.alternative is None or not received.is_ack:
+            return
+        address, initial_sequence = owner.alternative
+        if received.acknowledged == (initial_sequence + 1) & 0xFFFFFFFF:
+            owner.address = address
+        owner.alternative = None
+
+    def _deliver(
+        self, address: messages.Address, received: packet.Packet
+    ) -> None:
+        message = messages.Deliver(self._address, received.raw)
+        self._actions.append(actions.SendDaemon(address, message))
+
+    def _reset(self, received: packet.Packet) -> None:
+        if not received.is_reset:
+            self._actions.append(
+                actions.ResetCaller(received.flow, received.acknowledged)
+            )
+
+    # Looking for the owner of a flow.
+
+    def _look_up(
+        self,
+        received: packet.Packet,
+        now_ms: int,
+        *,
+        without: messages.Address | None = None,
+    ) -> None:
+        route = self.configuration.find(received.flow)
+        if route is None:
+            # The route may be newer than the configuration in force here.
+            self.counters["packets_dropped_no_route"] += 1
+            return
+        suspects = self.agents.of_services(route.services)
+        self._run(
+            self._lookups.begin(
+                received,
+                [agent.address for agent in suspects],
+                now_ms,
+                without=without,
+            ),
+            now_ms,
+        )
+
+    def _run(self, steps: list[lookup.Step], now_ms: int) -> None:
+        for step in steps:
+            match step:
+                case lookup.SendAsk(address, flow):
+                    self.counters["asks"] += 1
+                    self._actions.append(
+                        actions.SendDaemon(address, messages.Ask(flow))
+                    )
+                case lookup.Found(flow, address, packets):
+                    self._remember(flow, _Owner(address))
+                    self._log(
+                        "owner_found",
+                        flow=str(flow),
+                        agent=self._name(address),
+                        packets=len(packets),
+                    )
+                    for held in packets:
+                        self._deliver(address, held)
+                case lookup.Probe(address, held):
+                    self._deliver(address, held)
+                case lookup.NoOwner(flow, packets, silent):
+                    self._on_no_owner(flow, packets, silent, now_ms)
+
+    def _on_no_owner(
+        self,
+        flow: packet.FlowKey,
+        packets: list[packet.Packet],
+        silent: int,
+        now_ms: int,
+    ) -> None:
+        is_settled = now_ms - self._started_ms >= SETTLE_MS
+        is_certain = silent == 0 and is_settled
+        self.counters["flows_without_owner"] += 1
+        self._log(
+            "flow_without_owner",
+            flow=str(flow),
+            silent_agents=silent,
+            outcome="reset" if is_certain else "dropped",
+        )
+        if is_certain and packets:
+            self._reset(packets[-1])
+
+    def _remember(self, flow: packet.FlowKey, owner: _Owner) -> None:
+        self._owners.pop(flow, None)
+        if len(self._owners) >= MAX_OWNERS:
+            self._owners.popitem(last=False)
+            self.counters["owners_evicted"] += 1
+        self._owners[flow] = owner
+
+    def _name(self, address: messages.Address) -> str:
+        agent = self.agents.get(address)
+        return agent.name if agent is not None else address.ip
+
+    # Messages of other daemons.
+
+    def on_message(self, message: messages.Message, now_ms: int) -> None:
+        """Takes a message from an agent or another balancer."""
+        match message:
+            case messages.Opened():
+                self._on_opened(message)
+            case messages.Refused():
+                self._on_refused(message, now_ms)
+            case messages.Answer():
+                self._run(self._lookups.on_answer(message), now_ms)
+            case messages.Missed():
+                # Decoded by the I/O layer, see ``on_missed``.
+                raise TypeError("Missed needs its packet decoded")
+            case messages.Heartbeat():
+                self._on_heartbeat(message, now_ms)
+            case messages.Revisions():
+                self._on_revisions(message, now_ms)
+            case _:
+                self.counters["dropped_unexpected_kind"] += 1
+
+    def _on_opened(self, opened: messages.Opened) -> None:
+        flow = opened.flow
+        agent = self.agents.get(opened.agent)
+        if agent is not None:
+            agent.unanswered_ms = None
+        opening = self._openings.pop(flow, None)
+        if opening is not None:
+            self._remember(
+                flow,
+                _Owner(
+                    opened.agent,
+                    opening.caller_sequence,
+                    opened.initial_sequence,
+                ),
+            )
+            return
+        owner = self._owners.get(flow)
+        if owner is None or owner.address == opened.agent:
+            return
+        if owner.initial_sequence is not None:
+            self.counters["opened_twice"] += 1
+            owner.alternative = (opened.agent, opened.initial_sequence)
+
+    def _on_refused(self, refused: messages.Refused, now_ms: int) -> None:
+        opening = self._openings.pop(refused.flow, None)
+        if opening is None:
+            return
+        self.counters[f"opens_refused_{refused.reason}"] += 1
+        self._log(
+            "open_refused",
+            flow=str(refused.flow),
+            reason=refused.reason,
+            agent=self._name(refused.agent),
+            retry_after_ms=refused.retry_after_ms,
+            waited_ms=now_ms - opening.started_ms,
+        )
+        self._actions.append(actions.ResetCaller(refused.flow, 0))
+
+    def on_missed(
+        self,
+        agent: messages.Address,
+        received: packet.Packet,
+        now_ms: int,
+    ) -> None:
+        """Takes back a packet of a flow that an agent does not own."""
+        self.counters["missed"] += 1
+        flow = received.flow
+        owner = self._owners.get(flow)
+        if owner is not None and owner.address == agent:
+            if owner.alternative is not None:
+                owner.address, owner.alternative = owner.alternative[0], None
+                self._deliver(owner.address, received)
+                return
+            del self._owners[flow]
+        elif owner is not None:
+            self._deliver(owner.address, received)
+            return
+        if self._lookups.is_probing(flow):
+            self._run(self._lookups.on_missed(flow, agent, received), now_ms)
+            return
+        self._look_up(received, now_ms, without=agent)
+
+    def _on_heartbeat(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
+        before = self.agents.hear(heartbeat, now_ms)
+        self._unheard.pop(heartbeat.address, None)
+        known = self.agents.get(heartbeat.address)
+        if known is not None and known.heartbeat is heartbeat:
+            self._log_change(before, known, now_ms)
+        self._acknowledge(heartbeat)
+
+    def _log_change(
+        self, before: agents.Agent | None, agent: agents.Agent, now_ms: int
+    ) -> None:
+        beat = agent.heartbeat
+        if before is None:
+            self._log(
+                "agent_found",
+                agent=beat.name,
+                ip=beat.address.ip,
+                service=beat.service,
+                state=beat.state,
+                data_centre=beat.data_centre,
+            )
+        elif (
+            before.heartbeat.state != beat.state
+            or before.heartbeat.incarnation != beat.incarnation
+            or not before.is_alive(now_ms)
+        ):
+            self._log(
+                "agent_changed",
+                agent=beat.name,
+                state=beat.state,
+                former_state=before.heartbeat.state,
+                restarted=before.heartbeat.incarnation != beat.incarnation,
+                silent_ms=now_ms - before.heard_ms,
+            )
+
+    def _acknowledge(self, heartbeat: messages.Heartbeat) -> None:
+        service = self.configuration.services.get(heartbeat.service)
+        ack = messages.HeartbeatAck(
+            balancer=self._address,
+            balancers=tuple(self.peers)[:MAX_NAMED_BALANCERS],
+            configuration_revision=(
+                self.configuration.revision if service is not None else 0
+            ),
+            cold_opens_per_s=service.cold_opens_per_s if service else 0.0,
+            max_flows=service.max_flows if service else 0,
+            idle_timeout_ms=self.configuration.idle_timeout_ms,
+            is_evacuated=(
+                heartbeat.data_centre in self.evacuations.data_centres
+            ),
+            evacuations_revision=self.evacuations.revision,
+            is_leaving=self.is_leaving,
+        )
+        self._actions.append(actions.SendDaemon(heartbeat.address, ack))
+
+    # Other balancers, and daemons known by address only.
+
+    def add_peer(self, address: messages.Address, now_ms: int) -> None:
+        """Starts to exchange revisions with another balancer."""
+        if address == self._address or address in self.peers:
+            return
+        if len(self.peers) < MAX_PEERS:
+            self.peers[address] = now_ms
+            self._log("peer_found", ip=address.ip)
+            self._send_revisions(address, is_reply=False)
+
+    def add_agent(self, address: messages.Address, now_ms: int) -> None:
+        """Introduces this balancer to an agent that it has not heard."""
+        if self.agents.get(address) is not None or address in self._unheard:
+            return
+        if len(self._unheard) < agents.MAX_AGENTS:
+            self._unheard[address] = now_ms
+            self._say_hello(address)
+
+    def _say_hello(self, address: messages.Address) -> None:
+        self._actions.append(
+            actions.SendDaemon(address, messages.Hello(self._address))
+        )
+
+    def _on_revisions(self, revisions: messages.Revisions, now_ms: int) -> None:
+        sender = revisions.balancer
+        if sender not in self.peers:
+            self.add_peer(sender, now_ms)
+        self.peers[sender] = now_ms
+        for address in revisions.agents:
+            self.add_agent(address, now_ms)
+        if not revisions.is_reply:
+            self._send_revisions(sender, is_reply=True)
+        if (
+            revisions.configuration_revision > self.configuration.revision
+            or (
+                revisions.evacuations_revision > 0
+                and self.evacuations.revision == 0
+            )
+            or self._lags_evacuations(revisions)
+        ):
+            self._actions.append(actions.FetchReplica(revisions.replica))
+
+    def _lags_evacuations(self, revisions: messages.Revisions) -> bool:
+        """Tells whether a peer knows of a later change of evacuations."""
+        return (
+            revisions.evacuations_changed_revision > self.evacuations.revision
+        )
+
+    def _send_revisions(
+        self, address: messages.Address, *, is_reply: bool
+    ) -> None:
+        known = [agent.address for agent in self.agents]
+        if len(known) > MAX_NAMED_AGENTS:
+            known = self._rng.sample(known, MAX_NAMED_AGENTS)
+        message = messages.Revisions(
+            balancer=self._address,
+            replica=self._replica,
+            configuration_revision=self.configuration.revision,
+            evacuations_revision=self.evacuations.revision,
+            evacuations_changed_revision=self.evacuations.changed_revision,
+            agents=tuple(known),
+            is_reply=is_reply,
+        )
+        self._actions.append(actions.SendDaemon(address, message))
+
+    def gossip(self, now_ms: int) -> None:
+        """Exchanges revisions with some peers; to be called each 500 ms."""
+        addresses = [
+            address
+            for address, heard_ms in self.peers.items()
+            if now_ms - heard_ms <= SILENT_PEER_MS
+        ]
+        silent = [a for a in self.peers if a not in addresses]
+        if len(addresses) > GOSSIP_PEERS:
+            addresses = self._rng.sample(addresses, GOSSIP_PEERS)
+        if silent:
+            addresses.append(self._rng.choice(silent))
+        for address in addresses:
+            self._send_revisions(address, is_reply=False)
+        quiet = [
+            agent.address for agent in self.agents if not agent.is_alive(now_ms)
+        ]
+        quiet += [a for a in self._unheard if self.agents.get(a) is None]
+        if len(quiet) > GOSSIP_HELLOS:
+            quiet = self._rng.sample(quiet, GOSSIP_HELLOS)
+        for address in quiet:
+            self._say_hello(address)
+
+    def acknowledge_all(self) -> None:
+        """Tells all agents what is in force."""
+        for agent in self.agents:
+            self._acknowledge(agent.heartbeat)
+
+    def leave(self) -> None:
+        """Announces that the balancer is about to stop."""
+        self.is_leaving = True
+        self.acknowledge_all()
+
+    # Time.
+
+    def tick(self, now_ms: int) -> None:
+        """Acts on what has taken too long; to be called each 20 ms."""
+        for flow, opening in list(self._openings.items()):
+            if now_ms - opening.started_ms > OPEN_LIFETIME_MS:
+                del self._openings[flow]
+                self.counters["opens_timed_out"] += 1
+                self._log(
+                    "open_timed_out",
+                    flow=str(flow),
+                    service=opening.service,
+                    candidates=len(opening.candidates),
+                )
+            elif now_ms - opening.sent_ms >= OPEN_ANSWER_MS:
+                self._next_candidate(flow, opening, now_ms)
+        self._run(self._lookups.tick(now_ms), now_ms)
+
+    def sweep(self, now_ms: int) -> None:
+        """Forgets what is out of date; to be called each second."""
+        for agent in self.agents.forget_silent(now_ms):
+            self._log(
+                "agent_forgotten",
+                agent=agent.name,
+                silent_ms=now_ms - agent.heard_ms,
+            )
+        for address, found_ms in list(self._unheard.items()):
+            if now_ms - found_ms > agents.FORGET_AFTER_MS:
+                del self._unheard[address]
+        for address, heard_ms in list(self.peers.items()):
+            if now_ms - heard_ms > FORGET_PEER_MS:
+                del self.peers[address]
+                self._log("peer_forgotten", ip=address.ip)
+        for key, removed_ms in list(self._removed_routes.items()):
+            if now_ms - removed_ms > agents.FORGET_AFTER_MS:
+                del self._removed_routes[key]
+
+    def _log(self, event: str, **fields: object) -> None:
+        self._actions.append(actions.Log(event, fields))
--- /dev/null
+++ b/sapphirelift/core/l4/lookup.py
@@ -0,0 +1,204 @@
+"""Search for the owner of a flow that a balancer does not know.
+
+The agents are asked, without the packet. If none owns the flow for certain,
+but some have a table that does not reach back far enough, the packet itself
+is given to them one after the other, until a backend server takes it.
+"""
+
+import collections
+import dataclasses
+
+from sapphirelift.core.l4 import messages
+from sapphirelift.core.l4 import packet
+
+# Agents asked at once; the others follow when these do not own the flow.
+WAVE_AGENTS = 8
+# Several round trips between data centres (1 ms each); instances stall for
+# up to 100 ms when their processor quota is used up.
+ANSWER_MS = 120
+# Callers send a packet again after 200 ms at the earliest; the search for a
+# flow of silent agents ends after a few repetitions.
+LIFETIME_MS = 1500
+MAX_LOOKUPS = 4096
+MAX_PACKETS = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendAsk:
+    """Asks an agent."""
+
+    address: messages.Address
+    flow: packet.FlowKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """An agent owns the flow; the packets held so far are for it."""
+
+    flow: packet.FlowKey
+    address: messages.Address
+    packets: list[packet.Packet]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Gives a packet to an agent that may own the flow."""
+
+    address: messages.Address
+    packet: packet.Packet
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoOwner:
+    """No agent owns the flow.
+
+    Attributes:
+        silent: Number of agents that may own it but gave no answer.
+    """
+
+    flow: packet.FlowKey
+    packets: list[packet.Packet]
+    silent: int
+
+
+Step = SendAsk | Found | Probe | NoOwner
+
+
+@dataclasses.dataclass(slots=True)
+class _Lookup:
+    """One search.
+
+    Attributes:
+        unasked: Agents that have not been asked yet.
+        waiting: Agents that have not answered yet.
+        possible: Agents that may own the flow.
+        probing: Agent that has been given the packet, None before that.
+    """
+
+    packets: collections.deque[packet.Packet]
+    started_ms: int
+    asked_ms: int
+    unasked: list[messages.Address]
+    waiting: set[messages.Address] = dataclasses.field(default_factory=set)
+    possible: list[messages.Address] = dataclasses.field(default_factory=list)
+    probing: messages.Address | None = None
+    silent: int = 0
+
+
+class Lookups:
+    """Searches of one balancer."""
+
+    def __init__(self, counters: collections.Counter[str]) -> None:
+        self._counters = counters
+        self._lookups: dict[packet.FlowKey, _Lookup] = {}
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether a search is going on."""
+        return bool(self._lookups)
+
+    def is_probing(self, flow: packet.FlowKey) -> bool:
+        """Tells whether a packet of the flow has been given to an agent."""
+        held = self._lookups.get(flow)
+        return held is not None and held.probing is not None
+
+    def begin(
+        self,
+        received: packet.Packet,
+        agents: list[messages.Address],
+        now_ms: int,
+        *,
+        without: messages.Address | None = None,
+    ) -> list[Step]:
+        """Begins a search, or adds a packet to the one that is going on.
+
+        Args:
+            received: The packet.
+            agents: Agents that may own its flow.
+            now_ms: Current time.
+            without: Agent that is known not to own it.
+        """
+        held = self._lookups.get(received.flow)
+        if held is not None:
+            held.packets.append(received)
+            if held.probing is not None:
+                return [Probe(held.probing, received)]
+            return []
+        if len(self._lookups) >= MAX_LOOKUPS:
+            self._counters["lookups_dropped_table_full"] += 1
+            return []
+        self._counters["lookups"] += 1
+        self._lookups[received.flow] = _Lookup(
+            collections.deque([received], maxlen=MAX_PACKETS),
+            now_ms,
+            now_ms,
+            [agent for agent in agents if agent != without],
+        )
+        return self._go_on(received.flow, now_ms)
+
+    def on_answer(self, answer: messages.Answer) -> list[Step]:
+        """Takes the answer of an agent."""
+        held = self._lookups.get(answer.flow)
+        if held is None:
+            return []
+        if answer.verdict == messages.OWNS:
+            del self._lookups[answer.flow]
+            return [Found(answer.flow, answer.agent, list(held.packets))]
+        if answer.agent not in held.waiting:
+            return []
+        held.waiting.discard(answer.agent)
+        if answer.verdict == messages.MAY_OWN:
+            held.possible.append(answer.agent)
+        return self._go_on(answer.flow, held.asked_ms)
+
+    def on_missed(
+        self,
+        flow: packet.FlowKey,
+        agent: messages.Address,
+        received: packet.Packet,
+    ) -> list[Step]:
+        """Takes a packet back that a probed agent does not own."""
+        held = self._lookups.get(flow)
+        if held is None or held.probing != agent:
+            return []
+        if agent in held.possible:
+            held.possible.remove(agent)
+        held.probing = None
+        if not held.packets:
+            held.packets.append(received)
+        return self._go_on(flow, held.asked_ms)
+
+    def tick(self, now_ms: int) -> list[Step]:
+        """Goes on where answers are missing."""
+        steps: list[Step] = []
+        for flow, held in list(self._lookups.items()):
+            if now_ms - held.started_ms > LIFETIME_MS:
+                del self._lookups[flow]
+                self._counters["lookups_timed_out"] += 1
+            elif now_ms - held.asked_ms > ANSWER_MS:
+                if held.probing is not None:
+                    # The backend server has kept the packet.
+                    del self._lookups[flow]
+                    steps.append(Found(flow, held.probing, []))
+                    continue
+                held.silent += len(held.waiting)
+                held.waiting.clear()
+                steps.extend(self._go_on(flow, now_ms))
+        return steps
+
+    def _go_on(self, flow: packet.FlowKey, now_ms: int) -> list[Step]:
+        held = self._lookups[flow]
+        if held.waiting:
+            return []
+        if held.unasked:
+            wave = held.unasked[:WAVE_AGENTS]
+            del held.unasked[:WAVE_AGENTS]
+            held.waiting.update(wave)
+            held.asked_ms = now_ms
+            return [SendAsk(address, flow) for address in wave]
+        if held.possible:
+            held.probing = held.possible[0]
+            held.asked_ms = now_ms
+            return [Probe(held.probing, held.packets[-1])]
+        del self._lookups[flow]
+        return [NoOwner(flow, list(held.packets), held.silent)]
--- /dev/null
+++ b/sapphirelift/core/l4/packet.py
@@ -0,0 +1,64 @@
+"""Packets of a flow, as the decisions see them."""
+
+from typing import NamedTuple
+
+
+class FlowKey(NamedTuple):
+    """Identity of a flow: the addresses of its two ends.
+
+    Attributes:
+        caller_ip: IPv4 address of the caller, as an integer.
+        caller_port: Port of the caller.
+        route_ip: IPv4 address that the caller opened the flow to.
+        route_port: Port that the caller opened the flow to.
+    """
+
+    caller_ip: int
+    caller_port: int
+    route_ip: int
+    route_port: int
+
+    def __str__(self) -> str:
+        """Returns the form that logs use.
+
+        >>> str(FlowKey(0x64400007, 40001, 0xC6120001, 443))
+        '100.64.0.7:40001>198.18.0.1:443'
+        """
+        caller, route = ip_text(self.caller_ip), ip_text(self.route_ip)
+        return f"{caller}:{self.caller_port}>{route}:{self.route_port}"
+
+
+class Packet(NamedTuple):
+    """One packet of a flow.
+
+    Attributes:
+        flow: The flow, the same for both directions.
+        is_syn: Whether it opens the flow, or accepts it with ``is_ack``.
+        is_fin: Whether the sender has no more data.
+        is_reset: Whether it ends the flow at once.
+        is_bounced: Whether a backend server has sent it back unprocessed.
+        sequence: Sequence number of its first byte.
+        acknowledged: Next sequence number expected from the other end.
+        payload_bytes: Length of its data.
+        raw: The datagram.
+    """
+
+    flow: FlowKey
+    is_syn: bool
+    is_ack: bool
+    is_fin: bool
+    is_reset: bool
+    is_bounced: bool
+    sequence: int
+    acknowledged: int
+    payload_bytes: int
+    raw: bytes
+
+
+def ip_text(ip: int) -> str:
+    """Returns an IPv4 address in dotted form.
+
+    >>> ip_text(0x0A010002)
+    '10.1.0.2'
+    """
+    return f"{ip >> 24}.{ip >> 16 & 255}.{ip >> 8 & 255}.{ip & 255}"
--- a/sapphirelift/core/rate_limit.py
+++ b/sapphirelift/core/rate_limit.py
@@ -17,11 +17,27 @@
 
     def reserve_ms(self, *, now_ms: int) -> int:
         """Takes one token and returns how long to wait before using it."""
-        if self._filled_ms is not None:
-            gained = (now_ms - self._filled_ms) * self._rate_per_s / 1000
-            self._available = min(self._available + gained, self._burst)
-        self._filled_ms = now_ms
+        self._fill(now_ms)
         self._available -= 1
         if self._available >= 0:
             return 0
         return round(-self._available * 1000 / self._rate_per_s)
+
+    def would_wait(self, *, now_ms: int) -> bool:
+        """Takes one token if there is one; returns whether there is none.
+
+        >>> bucket = TokenBucket(rate_per_s=10, burst=1)
+        >>> bucket.would_wait(now_ms=0), bucket.would_wait(now_ms=0)
+        (False, True)
+        """
+        self._fill(now_ms)
+        if self._available < 1:
+            return True
+        self._available -= 1
+        return False
+
+    def _fill(self, now_ms: int) -> None:
+        if self._filled_ms is not None:
+            gained = (now_ms - self._filled_ms) * self._rate_per_s / 1000
+            self._available = min(self._available + gained, self._burst)
+        self._filled_ms = now_ms
--- /dev/null
+++ b/sapphirelift/deployment.py
@@ -0,0 +1,129 @@
+"""Settings of the daemons that carry packets: a JSON file checked by type."""
+
+import pathlib
+from typing import Literal
+
+import msgspec
+
+from sapphirelift import errors
+from sapphirelift.core.l4 import messages
+
+
+class Deployment(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of one daemon.
+
+    Attributes:
+        name: Unique name of the instance.
+        role: ``balancer`` or ``agent``.
+        ip: IPv4 address of the instance.
+        data_centre: Data centre of the instance.
+        region: Region of the data centre.
+        packets: ``IP:PORT`` on which packets of callers arrive; its port is
+            also the one at which callers receive.
+        readiness: ``IP:PORT`` of the readiness check.
+        reports: ``IP:PORT`` for reports of the backend server, agents only.
+        outbound: ``IP:PORT`` for packets of the backend server, agents only.
+        backend: ``IP:PORT`` of the backend server, agents only.
+        service: Service of the backend server, agents only.
+        internal_ports: First and last port for other daemons; the first is
+            used for datagrams and the last for HTTP.
+        platform: ``IP:PORT`` of the platform's object store.
+        report_interval_ms: Interval of the backend server's reports.
+        stop_timeout_ms: Time from a signal to stop until the process must
+            have ended.
+        is_first_start: Whether the whole system starts for the first time.
+    """
+
+    name: str
+    role: Literal["balancer", "agent"]
+    ip: str
+    data_centre: str
+    region: str
+    packets: str
+    readiness: str
+    internal_ports: tuple[int, int]
+    platform: str
+    report_interval_ms: int
+    stop_timeout_ms: int
+    is_first_start: bool = False
+    reports: str = ""
+    outbound: str = ""
+    backend: str = ""
+    service: str = ""
+
+    @property
+    def daemon_address(self) -> messages.Address:
+        """Where this daemon receives messages of others."""
+        return messages.Address(self.ip, self.internal_ports[0])
+
+    @property
+    def admin_address(self) -> messages.Address:
+        """Where this daemon serves its state, metrics and replica."""
+        return messages.Address(self.ip, self.internal_ports[1])
+
+
+def address(text: str) -> messages.Address:
+    """Returns the address in ``IP:PORT``.
+
+    >>> address("10.1.0.2:80")
+    Address(ip='10.1.0.2', port=80)
+
+    Raises:
+        ValueError: It is none.
+    """
+    ip, _, port = text.rpartition(":")
+    if not ip:
+        raise ValueError(f"no IP:PORT: {text!r}")
+    return messages.Address(ip, int(port))
+
+
+def load(path: str) -> Deployment:
+    """Reads and checks a settings file.
+
+    Raises:
+        SettingsError: The file cannot be read or a field is wrong.
+    """
+    try:
+        return parse(pathlib.Path(path).read_bytes())
+    except OSError as error:
+        raise errors.SettingsError(
+            f"cannot read {path}: {error.strerror}",
+            remedy="name a readable file with --settings",
+        ) from error
+
+
+def parse(data: bytes) -> Deployment:
+    """Checks settings given as JSON.
+
+    Raises:
+        SettingsError: A field is missing, unknown or of the wrong type.
+    """
+    try:
+        settings = msgspec.json.decode(data, type=Deployment)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(
+            f"settings: {error}", remedy="correct the field named"
+        ) from error
+    needed = ["packets", "readiness", "platform"]
+    if settings.role == "agent":
+        needed += ["reports", "outbound", "backend"]
+        if not settings.service:
+            raise _problem("service", "name the backend server's service")
+    for field in needed:
+        try:
+            address(getattr(settings, field))
+        except ValueError as error:
+            raise _problem(field, "use IP:PORT") from error
+    first, last = settings.internal_ports
+    if not 0 < first < last < 65536:
+        raise _problem("internal_ports", "use two ports or more")
+    for field in ("report_interval_ms", "stop_timeout_ms"):
+        if getattr(settings, field) <= 0:
+            raise _problem(field, "use a duration above 0")
+    return settings
+
+
+def _problem(field: str, remedy: str) -> errors.SettingsError:
+    return errors.SettingsError(
+        f"settings: `{field}` is missing or out of range", remedy=remedy
+    )
--- a/sapphirelift/errors.py
+++ b/sapphirelift/errors.py
@@ -51,6 +51,26 @@
         self.reason = reason
 
 
+class ReportError(SapphireliftError):
+    """A report of a backend server cannot be used."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(
+            f"report refused: {message}",
+            remedy="see that only backend servers call this address",
+        )
+
+
+class ConfigurationError(SapphireliftError):
+    """A configuration in the platform's store cannot be used."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(
+            f"configuration refused: {message}",
+            remedy="write a valid one; the one in force stays",
+        )
+
+
 class TokenError(DatagramError):
     """A flow token does not verify."""
 
--- a/sapphirelift/operators/admin.py
+++ b/sapphirelift/operators/admin.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import Any
 from typing import Protocol
 
@@ -10,7 +11,6 @@
 import eventlet.wsgi
 import prometheus_client
 
-from sapphirelift import messages
 from sapphirelift import tasks
 from sapphirelift.operators import metrics
 
@@ -31,7 +31,21 @@
 class AdminServer:
     """Serves the state of one process."""
 
-    def __init__(self, address: messages.Address, node: Inspectable) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        node: Inspectable,
+        *,
+        pages: Mapping[str, Callable[[], Any]] | None = None,
+    ) -> None:
+        """Binds the port.
+
+        Args:
+            address: IPv4 address and TCP port.
+            node: The process.
+            pages: Further paths, with what returns their JSON data.
+        """
+        self._pages = pages or {}
         self._address = address
         self._listener = eventlet.listen(address)
         self._node = node
@@ -67,4 +81,6 @@
                 return "503 Service Unavailable", {"ready": False}
             case "/dump":
                 return "200 OK", self._node.dump()
+        if path in self._pages:
+            return "200 OK", self._pages[path]()
         return "404 Not Found", {"error": "unknown path"}
--- /dev/null
+++ b/sapphirelift/packet_daemon.py
@@ -0,0 +1,99 @@
+"""Daemon that carries packets, in the role that its settings name."""
+
+import os
+import signal
+import sys
+
+import eventlet
+import eventlet.event
+
+from sapphirelift import _packet_agent
+from sapphirelift import _packet_balancer
+from sapphirelift import deployment
+from sapphirelift import errors
+
+USAGE_STATUS = 2
+SETTINGS_VARIABLE = "SAPPHIRELIFT_CONFIG"
+
+
+def build(
+    settings: deployment.Deployment,
+) -> _packet_balancer.BalancerNode | _packet_agent.AgentNode:
+    """Builds the role that the settings name.
+
+    Raises:
+        BindError: An address of the settings cannot be bound.
+    """
+    try:
+        match settings.role:
+            case "balancer":
+                return _packet_balancer.BalancerNode(settings)
+            case "agent":
+                return _packet_agent.AgentNode(settings)
+    except OSError as error:
+        raise errors.BindError(str(error)) from error
+
+
+def run(settings: deployment.Deployment, path: str) -> None:
+    """Runs one daemon until SIGTERM or SIGINT, then stops it.
+
+    Raises:
+        BindError: An address of the settings cannot be bound.
+    """
+    node = build(settings)
+    stopping: eventlet.event.Event = eventlet.event.Event()
+
+    def on_stop(signum: int, frame: object) -> None:
+        del signum, frame
+        if not stopping.ready():
+            stopping.send(None)
+
+    def reload() -> None:
+        try:
+            node.reload(deployment.load(path))
+        except errors.SettingsError as error:
+            node.log.write("reload_refused", reason=str(error))
+
+    def on_reload(signum: int, frame: object) -> None:
+        del signum, frame
+        # Outside the handler, which may interrupt a change of the state.
+        eventlet.spawn_after(0, reload)
+
+    def on_dump(signum: int, frame: object) -> None:
+        del signum, frame
+        eventlet.spawn_after(
+            0, lambda: node.log.write("state_dump", **node.dump())
+        )
+
+    signal.signal(signal.SIGUSR1, on_dump)
+    signal.signal(signal.SIGHUP, on_reload)
+    signal.signal(signal.SIGTERM, on_stop)
+    signal.signal(signal.SIGINT, on_stop)
+    node.start()
+    stopping.wait()
+    node.stop()
+
+
+def main() -> None:
+    """Entry point; settings by ``--settings FILE`` or the environment."""
+    eventlet.monkey_patch(thread=False)
+    arguments = sys.argv[1:]
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if len(arguments) == 2 and arguments[0] == "--settings":
+        path = arguments[1]
+    elif arguments or not path:
+        print(
+            "usage: python -m sapphirelift.packet_daemon [--settings FILE]; "
+            f"or set {SETTINGS_VARIABLE}",
+            file=sys.stderr,
+        )
+        sys.exit(USAGE_STATUS)
+    try:
+        run(deployment.load(path), path)
+    except (errors.SettingsError, errors.BindError) as error:
+        print(f"packet daemon: {error}", file=sys.stderr)
+        sys.exit(USAGE_STATUS)
+
+
+if __name__ == "__main__":
+    main()
--- a/sapphirelift/peers/endpoint.py
+++ b/sapphirelift/peers/endpoint.py
@@ -1,23 +1,12 @@
-"""UDP socket owned by one task."""
-
-from collections.abc import Callable
-
-import eventlet
-import eventlet.greenthread
-from eventlet import hubs
-from eventlet.green import socket
+"""UDP socket of a daemon, with counts by kind of datagram."""
 
 from sapphirelift import messages
-from sapphirelift import tasks
 from sapphirelift import wire
+from sapphirelift.peers import datagrams
 
-_BUFFER_BYTES = 4 << 20
 _KIND_OFFSET = 2
 
-# Datagrams handled before other tasks get their turn.
-BATCH_DATAGRAMS = 64
-
-Handler = Callable[[bytes, tuple[str, int]], None]
+Handler = datagrams.Handler
 
 
 class Endpoint:
@@ -30,32 +19,18 @@
     """
 
     def __init__(self, address: messages.Address, handler: Handler) -> None:
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES
-        )
-        self._socket.bind(address)
-        # The plain socket below the green one: a call that need not wait
-        # takes half the time.
-        self._raw = self._socket.fd
-        self.address = messages.Address(*self._socket.getsockname())
         self._handler = handler
-        self._task: eventlet.greenthread.GreenThread | None = None
+        self._socket = datagrams.DatagramSocket(
+            address, self._receive, max_bytes=wire.MAX_PEER_BYTES + 1
+        )
+        self.address = messages.Address(*self._socket.bound_address)
+        self.start = self._socket.start
+        self.stop = self._socket.stop
         self.bytes_sent = 0
         self.datagrams_received = 0
         self.sent_bytes_by_kind = [0] * 256
         self.received_by_kind = [0] * 256
 
-    def start(self) -> None:
-        """Starts to receive."""
-        self._task = tasks.spawn("endpoint", self._receive)
-
-    def stop(self) -> None:
-        """Stops to receive and closes the socket."""
-        if self._task is not None:
-            self._task.kill()
-        self._socket.close()
-
     def take_counts(self, former: "Endpoint") -> None:
         """Goes on counting where the socket that this one replaces ended."""
         self.bytes_sent = former.bytes_sent
@@ -65,33 +40,12 @@
 
     def send(self, data: bytes, address: tuple[str, int]) -> None:
         """Sends a datagram; a datagram that cannot be sent is lost."""
-        try:
-            try:
-                self._raw.sendto(data, address)
-            except BlockingIOError:
-                self._socket.sendto(data, address)
+        if self._socket.send(data, address):
             self.bytes_sent += len(data)
             self.sent_bytes_by_kind[data[_KIND_OFFSET]] += len(data)
-        except (OSError, OverflowError):
-            return
 
-    def _receive(self) -> None:
-        receive, handler = self._raw.recvfrom, self._handler
-        while True:
-            for _ in range(BATCH_DATAGRAMS):
-                try:
-                    data, address = receive(wire.MAX_PEER_BYTES + 1)
-                except BlockingIOError:
-                    hubs.trampoline(self._raw, read=True)
-                    break
-                except ConnectionError:
-                    continue
-                self.datagrams_received += 1
-                if len(data) > _KIND_OFFSET:
-                    self.received_by_kind[data[_KIND_OFFSET]] += 1
-                try:
-                    handler(data, address)
-                except Exception:
-                    tasks.report("endpoint")
-            else:
-                eventlet.sleep(0)
+    def _receive(self, data: bytes, address: tuple[str, int]) -> None:
+        self.datagrams_received += 1
+        if len(data) > _KIND_OFFSET:
+            self.received_by_kind[data[_KIND_OFFSET]] += 1
+        self._handler(data, address)
--- /dev/null
+++ b/sapphirelift/platform/configuration.py
@@ -0,0 +1,106 @@
+"""The operators' configuration and evacuations, as the store holds them."""
+
+from typing import Any
+
+import msgspec
+
+from sapphirelift import errors
+from sapphirelift.core.l4 import routes
+from sapphirelift.platform import packets
+
+# Kinds and names of the operators' objects.
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+EVACUATION_KIND = "evacuations"
+
+
+class _Share(msgspec.Struct):
+    service: str = msgspec.field(name="Service")
+    weight: float = msgspec.field(name="Weight", default=0.0)
+
+
+class _Route(msgspec.Struct):
+    name: str = msgspec.field(name="Name")
+    # The IPv4 address that callers open flows to, not a host name.
+    host: str = msgspec.field(name="Host")
+    # The port between slashes, not a path.
+    prefix: str = msgspec.field(name="PathPrefix")
+    service: str = msgspec.field(name="Service", default="")
+    split: list[_Share] = msgspec.field(
+        name="TrafficSplit", default_factory=list
+    )
+    homes: list[str] = msgspec.field(
+        name="AllowedRegions", default_factory=list
+    )
+    aim_ms: float = msgspec.field(name="AimMs", default=0)
+    timeout_ms: float = msgspec.field(name="TimeoutMs", default=0)
+
+
+class _Service(msgspec.Struct):
+    name: str = msgspec.field(name="Name")
+    max_connections: int = msgspec.field(name="MaxConnections", default=0)
+    # New flows a second that a cold backend server bears, not requests.
+    cold_per_s: float = msgspec.field(name="WarmupPerS", default=0.0)
+
+
+class _Limits(msgspec.Struct):
+    # The other limits describe requests, which are not seen here.
+    idle_ms: float = msgspec.field(name="IdleTimeoutMs", default=15_000)
+
+
+class _Body(msgspec.Struct):
+    version: int = msgspec.field(name="Version")
+    routes: list[_Route] = msgspec.field(name="Routes", default_factory=list)
+    services: list[_Service] = msgspec.field(
+        name="Services", default_factory=list
+    )
+    limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
+
+
+def decode(value: Any, revision: int) -> routes.Configuration:
+    """Decodes a configuration.
+
+    Args:
+        value: The object's value.
+        revision: Its revision in the store.
+
+    Raises:
+        ConfigurationError: A field is missing or of another type.
+    """
+    try:
+        body = msgspec.convert(value, _Body)
+        found = [_route(route) for route in body.routes]
+    except (msgspec.MsgspecError, ValueError, OSError) as error:
+        raise errors.ConfigurationError(str(error)) from error
+    return routes.Configuration(
+        revision=revision,
+        version=body.version,
+        routes=dict(found),
+        services={
+            service.name: routes.Service(
+                service.name, service.max_connections, service.cold_per_s
+            )
+            for service in body.services
+        },
+        idle_timeout_ms=int(body.limits.idle_ms),
+    )
+
+
+def _route(route: _Route) -> tuple[routes.RouteKey, routes.Route]:
+    key = routes.RouteKey(
+        packets.ip_number(route.host), int(route.prefix.strip("/"))
+    )
+    shares = tuple(
+        routes.Share(share.service, share.weight) for share in route.split
+    )
+    if not shares and route.service:
+        shares = (routes.Share(route.service, 1.0),)
+    if not shares:
+        raise ValueError(f"route {route.name} names no service")
+    return key, routes.Route(
+        name=route.name,
+        shares=shares,
+        regions=frozenset(route.homes),
+        aim_ms=int(route.aim_ms),
+        timeout_ms=int(route.timeout_ms),
+    )
--- /dev/null
+++ b/sapphirelift/platform/http.py
@@ -0,0 +1,118 @@
+"""HTTP that the platform and backend servers speak to a daemon."""
+
+import urllib.parse
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import eventlet
+import eventlet.wsgi
+
+from sapphirelift import errors
+from sapphirelift import tasks
+from sapphirelift.core.l4 import backend
+from sapphirelift.platform import reports
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+_READY_PATH = "/v1/readyz"
+_REPORTS_PREFIX = "/v1/instances/"
+# A report has nine short fields.
+_MAX_REPORT_BYTES = 16_384
+_JSON = [("Content-Type", "application/json")]
+
+
+class Server:
+    """An HTTP port served by one task."""
+
+    def __init__(self, address: tuple[str, int], name: str) -> None:
+        self._listener = eventlet.listen(address)
+        self._name = name
+
+    def start(self) -> None:
+        """Starts to serve."""
+        tasks.spawn(self._name, self._serve)
+
+    def stop(self) -> None:
+        """Takes no further connections."""
+        self._listener.close()
+
+    def _serve(self) -> None:
+        eventlet.wsgi.server(self._listener, self.answer, log_output=False)
+
+    def answer(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answers one call."""
+        raise NotImplementedError
+
+
+class ReadinessServer(Server):
+    """Tells the fabric whether to send packets here."""
+
+    def __init__(
+        self, address: tuple[str, int], is_ready: Callable[[], bool]
+    ) -> None:
+        super().__init__(address, "readiness")
+        self._is_ready = is_ready
+
+    def answer(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answers the readiness check."""
+        if environ["PATH_INFO"] != _READY_PATH:
+            start_response("404 Not Found", _JSON)
+        elif self._is_ready():
+            start_response("200 OK", _JSON)
+        else:
+            start_response("503 Service Unavailable", _JSON)
+        return [b"{}"]
+
+
+class ReportServer(Server):
+    """Takes the reports of the backend server beside an agent."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        *,
+        on_report: Callable[[backend.Report], None],
+        on_end: Callable[[str], None],
+        on_refused: Callable[[str], None],
+    ) -> None:
+        super().__init__(address, "reports")
+        self._on_report = on_report
+        self._on_end = on_end
+        self._on_refused = on_refused
+
+    def answer(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answers a report or the news that the backend server leaves."""
+        path = environ["PATH_INFO"]
+        if not path.startswith(_REPORTS_PREFIX):
+            start_response("404 Not Found", _JSON)
+            return [b"{}"]
+        backend_id = urllib.parse.unquote(path.removeprefix(_REPORTS_PREFIX))
+        match environ["REQUEST_METHOD"]:
+            case "PUT":
+                status = self._take(backend_id, environ)
+            case "DELETE":
+                self._on_end(backend_id)
+                status = "200 OK"
+            case _:
+                status = "405 Method Not Allowed"
+        start_response(status, _JSON)
+        return [b"{}"]
+
+    def _take(self, backend_id: str, environ: dict[str, Any]) -> str:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > _MAX_REPORT_BYTES:
+            self._on_refused("longer than a report")
+            return "413 Content Too Large"
+        body = environ["wsgi.input"].read(length)
+        try:
+            self._on_report(reports.decode(backend_id, body))
+        except errors.ReportError as error:
+            self._on_refused(str(error))
+            return "400 Bad Request"
+        return "200 OK"
--- /dev/null
+++ b/sapphirelift/platform/store.py
@@ -0,0 +1,385 @@
+"""The platform's object store: objects by kind and name, over HTTP."""
+
+import collections
+import urllib.parse
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+import msgspec
+import urllib3
+
+from sapphirelift import clock
+from sapphirelift import credentials as credentials_module
+from sapphirelift import errors
+from sapphirelift.core import rate_limit
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 3.0
+# A watch that waits is answered within its wait; this much later its
+# connection is taken to be dead.
+WATCH_MARGIN_S = 1.0
+# 840 watching daemons, each with up to two calls a second, stay within the
+# 2,000 reads a second that the platform takes.
+CALLS_PER_S = 2.0
+BURST_CALLS = 12
+# A watch of each of the three kinds that a balancer follows, and one call.
+POOL_CONNECTIONS = 4
+# A list that goes on for longer is not believed; 7,840 daemons take 16.
+MAX_PAGES = 64
+
+
+class Object(NamedTuple):
+    """An object of the store.
+
+    Attributes:
+        name: Unique within its kind.
+        revision: Revision of the store at its last change.
+        value: What its writer has put there, as JSON data.
+    """
+
+    name: str
+    revision: int
+    value: Any
+
+
+class Listing(NamedTuple):
+    """All objects of a kind.
+
+    Attributes:
+        revision: Revision of the store at which this was so.
+    """
+
+    revision: int
+    objects: list[Object]
+
+
+class Change(NamedTuple):
+    """A change of an object.
+
+    Attributes:
+        is_deleted: Whether the object is gone; its last value is given.
+    """
+
+    object: Object
+    is_deleted: bool
+
+
+class Changes(NamedTuple):
+    """Changes of the objects of a kind.
+
+    Attributes:
+        revision: Revision up to which all changes are included.
+    """
+
+    revision: int
+    changes: list[Change]
+
+
+class _Meta(msgspec.Struct):
+    name: str = msgspec.field(name="Name")
+    revision: int = msgspec.field(name="Revision")
+
+
+class _Object(msgspec.Struct):
+    meta: _Meta
+    spec: Any = None
+
+
+class _Listing(msgspec.Struct):
+    # The revision of the whole store, not that of the newest item.
+    revision: int = msgspec.field(name="CurrentRev")
+    items: list[msgspec.Raw] = msgspec.field(default_factory=list)
+    has_more: bool = msgspec.field(name="HasMore", default=False)
+
+
+class _Event(msgspec.Struct):
+    object: msgspec.Raw = msgspec.field(name="Object")
+    deleted: bool = msgspec.field(name="Deleted", default=False)
+
+
+class _Events(msgspec.Struct):
+    revision: int = msgspec.field(name="CurrentRev")
+    events: list[_Event] = msgspec.field(default_factory=list)
+
+
+class Store:
+    """Calls to the store, at a bounded rate.
+
+    Attributes:
+        calls: Number of calls by kind, a waiting watch counted as one.
+        failures: Number of calls without a usable answer, by kind.
+        skipped: Number of items that are no objects.
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        *,
+        name: str = "client",
+        calls_per_s: float = CALLS_PER_S,
+        credentials: credentials_module.PlatformCredentials | None = None,
+    ) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._bucket = rate_limit.TokenBucket(
+            rate_per_s=calls_per_s, burst=BURST_CALLS
+        )
+        self._credentials = (
+            credentials or credentials_module.PlatformCredentials()
+        )
+        tls: dict[str, Any] = {}
+        if self._base_url.lower().startswith("https://"):
+            tls["ssl_context"] = credentials_module.platform_context(
+                self._credentials
+            )
+        self._pool = urllib3.PoolManager(
+            retries=False,
+            maxsize=POOL_CONNECTIONS,
+            headers={"User-Agent": f"sapphirelift/{name}"},
+            **tls,
+        )
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.failures: collections.Counter[str] = collections.Counter()
+        self.skipped = 0
+
+    def get(self, kind: str, name: str) -> Object | None:
+        """Returns an object, or None if there is none.
+
+        Raises:
+            PlatformUnavailableError: No usable answer.
+        """
+        status, data = self._call("get", "GET", _path(kind, name))
+        return None if status == 404 else self._object("get", data)
+
+    def list_kind(self, kind: str, *, allow_stale: bool = False) -> Listing:
+        """Returns all objects of a kind.
+
+        Args:
+            kind: The kind.
+            allow_stale: Accepts an answer that may be seconds old, at a
+                tenth of the price.
+
+        Raises:
+            PlatformUnavailableError: No usable answer.
+        """
+        objects: dict[str, Object] = {}
+        revision: int | None = None
+        after = ""
+        for _ in range(MAX_PAGES):
+            query: dict[str, Any] = {"after": after} if after else {}
+            if allow_stale:
+                query["AllowStale"] = 1
+            page = self._page("list", _path(kind), query)
+            # Changes between two pages are not included in the earlier one.
+            revision = page.revision if revision is None else revision
+            found = self._objects(page.items)
+            objects.update((item.name, item) for item in found)
+            if not page.has_more or not found:
+                return Listing(revision, list(objects.values()))
+            after = found[-1].name
+        raise self._failure("list", f"more than {MAX_PAGES} pages")
+
+    def watch(
+        self,
+        kind: str,
+        *,
+        since: int,
+        wait_ms: int,
+        allow_stale: bool = False,
+    ) -> Changes | None:
+        """Waits for changes of a kind after a revision.
+
+        Returns:
+            The changes, none after ``wait_ms``; None if the store has
+            forgotten what came after ``since``.
+
+        Raises:
+            PlatformUnavailableError: No usable answer; the connection is
+                closed and the next watch uses a new one.
+        """
+        query: dict[str, Any] = {"Watch": since, "WaitMs": wait_ms}
+        if allow_stale:
+            query["AllowStale"] = 1
+        status, data = self._call(
+            "watch",
+            "GET",
+            _path(kind),
+            query=query,
+            read_timeout_s=wait_ms / 1000 + WATCH_MARGIN_S,
+        )
+        if status == 410:
+            return None
+        events = self._decode("watch", data, _Events)
+        changes: list[Change] = []
+        for event in events.events:
+            changes.extend(
+                Change(item, event.deleted)
+                for item in self._objects([event.object])
+            )
+        return Changes(events.revision, changes)
+
+    def create(self, kind: str, name: str, value: Any) -> Object:
+        """Creates an object.
+
+        Raises:
+            ConflictError: There is one.
+            PlatformUnavailableError: No usable answer; the write may have
+                been done or may be done later.
+        """
+        body = {"meta": {"Name": name}, "spec": value}
+        return self._write("create", "POST", kind, name, body, path=_path(kind))
+
+    def replace(
+        self, kind: str, name: str, value: Any, *, revision: int | None = None
+    ) -> Object:
+        """Replaces the value of an object.
+
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            value: The new value.
+            revision: Revision that the object must have; None for any.
+
+        Raises:
+            ConflictError: It has another revision, or there is none.
+            PlatformUnavailableError: As for ``create``.
+        """
+        meta: dict[str, Any] = {"Name": name}
+        if revision is not None:
+            meta["Revision"] = revision
+        body = {"meta": meta, "spec": value}
+        return self._write("replace", "PUT", kind, name, body)
+
+    def delete(
+        self, kind: str, name: str, *, revision: int | None = None
+    ) -> None:
+        """Deletes an object; one that is gone is no error.
+
+        Raises:
+            ConflictError: It has another revision.
+            PlatformUnavailableError: As for ``create``.
+        """
+        query = {"Revision": revision} if revision is not None else {}
+        status, data = self._call(
+            "delete", "DELETE", _path(kind, name), query=query
+        )
+        if status == 409:
+            raise self._conflict(kind, name, data)
+
+    def _write(
+        self,
+        call: str,
+        method: str,
+        kind: str,
+        name: str,
+        body: dict[str, Any],
+        *,
+        path: str = "",
+    ) -> Object:
+        status, data = self._call(
+            call, method, path or _path(kind, name), body=body
+        )
+        if status == 404:
+            raise errors.ConflictError(f"{kind}/{name}", 0)
+        if status == 409:
+            raise self._conflict(kind, name, data)
+        return self._object(call, data)
+
+    def _conflict(
+        self, kind: str, name: str, data: bytes
+    ) -> errors.ConflictError:
+        found = self._objects([msgspec.Raw(data)])
+        revision = found[0].revision if found else 0
+        return errors.ConflictError(f"{kind}/{name}", revision)
+
+    def _page(self, call: str, path: str, query: dict[str, Any]) -> _Listing:
+        _, data = self._call(call, "GET", path, query=query)
+        return self._decode(call, data, _Listing)
+
+    def _objects(self, items: list[msgspec.Raw]) -> list[Object]:
+        """Decodes objects; what other writers have left there is skipped."""
+        found: list[Object] = []
+        for item in items:
+            try:
+                decoded = msgspec.json.decode(item, type=_Object)
+            except (msgspec.MsgspecError, UnicodeDecodeError):
+                self.skipped += 1
+                continue
+            found.append(_as_object(decoded))
+        return found
+
+    def _object(self, call: str, data: bytes) -> Object:
+        return _as_object(self._decode(call, data, _Object))
+
+    def _decode(self, call: str, data: bytes, kind: type[Any]) -> Any:
+        try:
+            return msgspec.json.decode(data, type=kind)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise self._failure(call, "unreadable answer") from error
+
+    def _call(
+        self,
+        call: str,
+        method: str,
+        path: str,
+        *,
+        query: dict[str, Any] | None = None,
+        body: dict[str, Any] | None = None,
+        read_timeout_s: float = READ_TIMEOUT_S,
+    ) -> tuple[int, bytes]:
+        delay_ms = self._bucket.reserve_ms(now_ms=clock.now_ms())
+        if delay_ms:
+            eventlet.sleep(delay_ms / 1000)
+        self.calls[call] += 1
+        url = self._base_url + path
+        if query:
+            url += "?" + urllib.parse.urlencode(query)
+        # The read timeout of a socket starts again with each byte; the other
+        # bounds the whole call.
+        bound = eventlet.Timeout(CONNECT_TIMEOUT_S + read_timeout_s + 0.5)
+        try:
+            response = self._pool.request(
+                method,
+                url,
+                json=body,
+                headers=self._headers(),
+                # A redirect could carry the token to another host.
+                redirect=False,
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_S, read=read_timeout_s
+                ),
+            )
+            data = response.data
+        except (urllib3.exceptions.HTTPError, ValueError, OSError) as error:
+            raise self._failure(call, type(error).__name__) from error
+        except eventlet.Timeout as error:
+            if error is not bound:
+                raise
+            raise self._failure(call, "no answer in time") from error
+        finally:
+            bound.cancel()
+        if response.status not in (200, 201, 404, 409, 410):
+            raise self._failure(call, f"status {response.status}")
+        return response.status, data
+
+    def _headers(self) -> dict[str, str]:
+        headers = dict(self._pool.headers)
+        if self._credentials.token_file:
+            token = credentials_module.read_token(self._credentials)
+            headers["Authorization"] = f"Bearer {token}"
+        return headers
+
+    def _failure(
+        self, call: str, reason: str
+    ) -> errors.PlatformUnavailableError:
+        self.failures[call] += 1
+        return errors.PlatformUnavailableError(f"platform: {call}: {reason}")
+
+
+def _as_object(decoded: _Object) -> Object:
+    return Object(decoded.meta.name, decoded.meta.revision, decoded.spec)
+
+
+def _path(kind: str, name: str = "") -> str:
+    path = f"/v1/objects/{urllib.parse.quote(kind, safe='')}"
+    return f"{path}/{urllib.parse.quote(name, safe='')}" if name else path
