Find the owner of a flow at agents of any service

After a loss of power it dropped packets of flows without an owner for 3 s, and cold backend servers without a rate in the configuration refused flows. Change: agents of other services and unheard ones are asked last; a flow is reset once every known daemon has denied it; without a rate a cold backend server is only used last, with one flows are held for their turn; a backend server that has left takes its flows out of the table.

--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -244,6 +244,7 @@
                 self.core.add_peer(entry.address, now_ms)
             elif entry.role == "agent":
                 self.core.add_agent(entry.address, now_ms)
+        self.core.has_directory = True
         self.perform()
 
     def is_alone(self) -> bool:
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -23,6 +23,9 @@
 # is taken to be unresponsive, and for how long.
 UNANSWERED_OPENS = 2
 UNRESPONSIVE_MS = 500
+# Callers give an opening packet up after 1.4 s; what is left then is the way
+# there and back, and another try.
+MAX_HOLD_MS = 1000
 # Weight of a new figure in averages.
 RESPONSE_WEIGHT = 0.1
 # Time constant of the average of requests in progress.
@@ -188,13 +191,20 @@
     def on_end(self, backend_id: str, now_ms: int) -> None:
         """Takes the news that the backend server leaves now."""
         if self.backend.end(backend_id):
-            self._log("backend_left", backend=backend_id)
+            self._log(
+                "backend_left",
+                backend=backend_id,
+                flows=self.flows.open_flows,
+            )
+            self.flows.clear()
+            self._busy = 0
             self._note_state(now_ms)
 
     def state(self, now_ms: int) -> str:
         """Returns the state that balancers see."""
         if self._is_leaving:
-            return agents.LEAVING
+            is_gone = self.backend.is_gone
+            return agents.GONE if is_gone else agents.LEAVING
         if now_ms < self._unresponsive_until_ms:
             return agents.UNAVAILABLE
         return self.backend.state(now_ms)
@@ -328,52 +338,66 @@
         flow = self.flows.get(key)
         if flow is not None and flow.caller_sequence == received.sequence:
             flow.balancer = opened.balancer
-            if flow.phase is not _Phase.OPENING:
-                self._tell_opened(key, flow)
-            self._actions.append(actions.SendBackend(opened.data))
+            self._tell_opened(key, flow)
+            if flow.phase is not _Phase.HELD:
+                self._actions.append(actions.SendBackend(opened.data))
             return
-        reason, wait_ms = self._refusal(opened.service, now_ms)
+        reason = self._refusal(opened, now_ms)
         if reason:
-            self._refuse(key, opened, reason, wait_ms)
+            self._refuse(key, opened, reason, 0)
+            return
+        wait_ms = self.backend.reserve_open(now_ms)
+        if wait_ms > MAX_HOLD_MS:
+            self.backend.cancel_open()
+            self._refuse(key, opened, "cold", wait_ms)
             return
         if flow is not None:
             self._set_idle(flow, now_ms)
-        self.flows.add(
-            key,
-            flow_table.Flow(
-                _Phase.OPENING,
-                opened.balancer,
-                now_ms,
-                caller_sequence=received.sequence,
-                others=tuple(opened.others),
-                opening_data=opened.data,
-                sent_ms=now_ms,
-            ),
-        )
-        self.backend.opened(now_ms)
         self.counters["opens"] += 1
-        self._actions.append(actions.SendBackend(opened.data))
+        flow = flow_table.Flow(
+            _Phase.HELD,
+            opened.balancer,
+            now_ms,
+            caller_sequence=received.sequence,
+            others=tuple(opened.others),
+            opening_data=opened.data,
+            sent_ms=now_ms + wait_ms,
+        )
+        self.flows.add(key, flow)
+        if wait_ms:
+            self._log(
+                "open_held",
+                flow=str(key),
+                wait_ms=wait_ms,
+                cold_ms=self.backend.cold_ms(now_ms),
+                cold_opens_per_s=self.backend.cold_opens_per_s,
+            )
+            held = messages.Held(key, self.identity.address, wait_ms)
+            self._send(opened.balancer, held)
+        else:
+            self._give_open(key, flow)
 
-    def _refusal(self, service: str, now_ms: int) -> tuple[str, int]:
-        """Returns why a flow may not open here, empty if it may.
+    def _give_open(self, key: packet.FlowKey, flow: flow_table.Flow) -> None:
+        self._actions.append(actions.SendBackend(flow.opening_data))
+        self.flows.move(key, flow, _Phase.OPENING)
 
-        Returns:
-            The reason, and when it may be tried again in milliseconds.
-        """
+    def _refusal(self, opened: messages.Open, now_ms: int) -> str:
+        """Returns why a flow may not open here, empty if it may."""
         report = self.backend.report
-        if service != self.identity.service or (
-            report is not None and report.service != service
+        if opened.service != self.identity.service or (
+            report is not None and report.service != opened.service
         ):
-            return "wrong_service", 0
+            return "wrong_service"
         state = self.state(now_ms)
         if state != agents.READY:
-            return state, 0
+            return state
         if self._is_evacuated:
-            return "evacuated", 0
+            return "evacuated"
         if 0 < self._max_flows <= self.flows.open_flows:
-            return "full", 0
-        wait_ms = self.backend.open_wait_ms(now_ms)
-        return ("cold", wait_ms) if wait_ms else ("", 0)
+            return "full"
+        if opened.others and self.backend.is_spared(now_ms):
+            return "cold"
+        return ""
 
     def _refuse(
         self,
@@ -468,7 +492,7 @@
     ) -> None:
         """Tells a balancer whether a flow is here."""
         flow = self.flows.get(ask.flow)
-        if flow is not None and flow.phase is not _Phase.OPENING:
+        if flow is not None and flow.phase.is_owned:
             verdict = messages.OWNS
         elif self._has_full_table:
             verdict = messages.OWNS_NOT
@@ -529,10 +553,8 @@
 
     def on_ack(self, ack: messages.HeartbeatAck, now_ms: int) -> None:
         """Takes what a balancer has in force."""
-        if ack.is_leaving:
-            self.balancers.pop(ack.balancer, None)
-        else:
-            self.balancers[ack.balancer] = now_ms
+        # One that leaves is kept: it comes back at the same address.
+        self.balancers[ack.balancer] = now_ms
         for address in ack.balancers:
             self.add_balancer(address, now_ms)
         if ack.configuration_revision > self._configuration_revision:
@@ -614,6 +636,10 @@
     def tick(self, now_ms: int) -> None:
         """Acts on what has taken too long; to be called each 20 ms."""
         for key, flow in self.flows.opening():
+            if flow.phase is _Phase.HELD:
+                if now_ms >= flow.sent_ms:
+                    self._give_open(key, flow)
+                continue
             if now_ms - flow.sent_ms < ACCEPT_MS or not flow.others:
                 continue
             self._unanswered += 1
--- a/sapphirelift/core/l4/agents.py
+++ b/sapphirelift/core/l4/agents.py
@@ -12,6 +12,8 @@
 UNAVAILABLE = "unavailable"
 # The agent itself is about to stop; its backend server may live on.
 LEAVING = "leaving"
+# The agent is about to stop, and its backend server has left before.
+GONE = "gone"
 
 # Agents send a heartbeat each 400 ms; three missing ones in a row.
 SUSPECT_AFTER_MS = 1300
@@ -116,7 +118,7 @@
             return held
         before = dataclasses.replace(held)
         if heartbeat.service != newest.service:
-            self._remove(heartbeat.address)
+            self.remove(heartbeat.address)
             self._add(Agent(heartbeat, now_ms))
             return before
         held.heartbeat = heartbeat
@@ -133,7 +135,7 @@
             if now_ms - agent.heard_ms > FORGET_AFTER_MS
         ]
         for agent in silent:
-            self._remove(agent.address)
+            self.remove(agent.address)
         return silent
 
     def _add(self, agent: Agent) -> None:
@@ -141,6 +143,7 @@
         service = agent.heartbeat.service
         self._by_service.setdefault(service, {})[agent.address] = agent
 
-    def _remove(self, address: messages.Address) -> None:
+    def remove(self, address: messages.Address) -> None:
+        """Removes an agent that is in the table."""
         agent = self._by_address.pop(address)
         del self._by_service[agent.heartbeat.service][address]
--- a/sapphirelift/core/l4/backend.py
+++ b/sapphirelift/core/l4/backend.py
@@ -106,19 +106,30 @@
         """Returns the time until it is warm."""
         return max(self._cold_until_ms - now_ms, 0)
 
-    def open_wait_ms(self, now_ms: int) -> int:
-        """Returns how long a new flow has to wait; 0 if it may open now."""
+    def is_spared(self, now_ms: int) -> bool:
+        """Tells whether a new flow should rather open elsewhere."""
+        return self.cold_ms(now_ms) > 0 and self._wait_ms(now_ms) > 0
+
+    def reserve_open(self, now_ms: int) -> int:
+        """Counts a new flow and returns how long it has to wait.
+
+        Without a rate in the configuration a cold backend server is spared
+        only while others may take the flow.
+        """
+        wait_ms = 0
+        if self.cold_opens_per_s > 0 and self.cold_ms(now_ms) > 0:
+            wait_ms = self._wait_ms(now_ms)
+        self._opens.append(now_ms + wait_ms)
+        return wait_ms
+
+    def cancel_open(self) -> None:
+        """Takes the last reservation back."""
+        self._opens.pop()
+
+    def _wait_ms(self, now_ms: int) -> int:
         while self._opens and now_ms - self._opens[0] >= COLD_WINDOW_MS:
             self._opens.popleft()
-        if self.cold_ms(now_ms) == 0:
-            return 0
         limit = int(self.cold_opens_per_s) + COLD_EXTRA_OPENS
         if len(self._opens) < limit:
             return 0
-        return self._opens[len(self._opens) - limit] + COLD_WINDOW_MS - now_ms
-
-    def opened(self, now_ms: int) -> None:
-        """Counts a new flow."""
-        self._opens.append(now_ms)
-        while now_ms - self._opens[0] >= COLD_WINDOW_MS:
-            self._opens.popleft()
+        return max(self._opens[-limit] + COLD_WINDOW_MS - now_ms, 0)
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -29,6 +29,9 @@
 # before its agents had the time to send heartbeats.
 SETTLE_MS = 3000
 MAX_PEERS = 1024
+# Agents asked for one flow; with more, a flow without an owner is not
+# certain to have ended.
+MAX_ASKED = 256
 # Balancers that an acknowledgement names to agents.
 MAX_NAMED_BALANCERS = 16
 # Agents that an exchange with a peer names.
@@ -71,6 +74,12 @@
     started_ms: int
     sent_ms: int
     index: int = 0
+    held_until_ms: int = 0
+
+    def is_overdue(self, now_ms: int) -> bool:
+        """Tells whether the agent should have answered by now."""
+        since_ms = max(self.sent_ms, self.held_until_ms)
+        return now_ms - since_ms >= OPEN_ANSWER_MS
 
 
 class Balancer:
@@ -80,6 +89,8 @@
         configuration: Configuration in force.
         evacuations: Data centres that are out.
         counters: Events by name.
+        has_directory: Whether the addresses of all daemons are known, so
+            that a flow which no agent owns does not exist.
     """
 
     def __init__(
@@ -103,6 +114,7 @@
         self.agents = agents.Agents()
         self.counters: collections.Counter[str] = collections.Counter()
         self.is_leaving = False
+        self.has_directory = False
         self.peers: dict[messages.Address, int] = {}
         self._address = address
         self._replica = replica
@@ -289,7 +301,7 @@
     def _repeat_open(
         self, flow: packet.FlowKey, opening: _Opening, now_ms: int
     ) -> None:
-        if now_ms - opening.sent_ms >= OPEN_ANSWER_MS:
+        if opening.is_overdue(now_ms):
             self._next_candidate(flow, opening, now_ms)
         else:
             self._send_open(opening)
@@ -382,18 +394,28 @@
             # The route may be newer than the configuration in force here.
             self.counters["packets_dropped_no_route"] += 1
             return
-        suspects = self.agents.of_services(route.services)
         self._run(
             self._lookups.begin(
                 received,
-                [agent.address for agent in suspects],
+                self._possible_owners(route),
                 now_ms,
                 without=without,
-            ),
-            now_ms,
+            )
         )
 
-    def _run(self, steps: list[lookup.Step], now_ms: int) -> None:
+    def _possible_owners(self, route: routes.Route) -> list[messages.Address]:
+        """Returns the agents that may own a flow of a route, likely first.
+
+        An earlier configuration may have sent flows of the route to any
+        service, so that agents of other services come last.
+        """
+        likely = [a.address for a in self.agents.of_services(route.services)]
+        found = set(likely)
+        others = [a.address for a in self.agents if a.address not in found]
+        unheard = [a for a in self._unheard if self.agents.get(a) is None]
+        return [*likely, *others, *unheard][:MAX_ASKED]
+
+    def _run(self, steps: list[lookup.Step]) -> None:
         for step in steps:
             match step:
                 case lookup.SendAsk(address, flow):
@@ -414,17 +436,19 @@
                 case lookup.Probe(address, held):
                     self._deliver(address, held)
                 case lookup.NoOwner(flow, packets, silent):
-                    self._on_no_owner(flow, packets, silent, now_ms)
+                    self._on_no_owner(flow, packets, silent)
 
     def _on_no_owner(
         self,
         flow: packet.FlowKey,
         packets: list[packet.Packet],
         silent: int,
-        now_ms: int,
     ) -> None:
-        is_settled = now_ms - self._started_ms >= SETTLE_MS
-        is_certain = silent == 0 and is_settled
+        is_certain = (
+            silent == 0
+            and self.has_directory
+            and len(self.agents) + len(self._unheard) <= MAX_ASKED
+        )
         self.counters["flows_without_owner"] += 1
         self._log(
             "flow_without_owner",
@@ -453,10 +477,12 @@
         match message:
             case messages.Opened():
                 self._on_opened(message)
+            case messages.Held():
+                self._on_held(message, now_ms)
             case messages.Refused():
                 self._on_refused(message, now_ms)
             case messages.Answer():
-                self._run(self._lookups.on_answer(message), now_ms)
+                self._run(self._lookups.on_answer(message))
             case messages.Missed():
                 # Decoded by the I/O layer, see ``on_missed``.
                 raise TypeError("Missed needs its packet decoded")
@@ -490,6 +516,15 @@
             self.counters["opened_twice"] += 1
             owner.alternative = (opened.agent, opened.initial_sequence)
 
+    def _on_held(self, held: messages.Held, now_ms: int) -> None:
+        opening = self._openings.get(held.flow)
+        if opening is None:
+            return
+        self.counters["opens_held"] += 1
+        opening.held_until_ms = now_ms + held.wait_ms
+        if held.agent in opening.candidates:
+            opening.index = opening.candidates.index(held.agent)
+
     def _on_refused(self, refused: messages.Refused, now_ms: int) -> None:
         opening = self._openings.pop(refused.flow, None)
         if opening is None:
@@ -525,11 +560,14 @@
             self._deliver(owner.address, received)
             return
         if self._lookups.is_probing(flow):
-            self._run(self._lookups.on_missed(flow, agent, received), now_ms)
+            self._run(self._lookups.on_missed(flow, agent, received))
             return
         self._look_up(received, now_ms, without=agent)
 
     def _on_heartbeat(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
+        if heartbeat.state == agents.GONE:
+            self._on_gone(heartbeat, now_ms)
+            return
         before = self.agents.hear(heartbeat, now_ms)
         self._unheard.pop(heartbeat.address, None)
         known = self.agents.get(heartbeat.address)
@@ -537,6 +575,21 @@
             self._log_change(before, known, now_ms)
         self._acknowledge(heartbeat)
 
+    def _on_gone(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
+        """Forgets an agent that ends together with its backend server."""
+        self._unheard.pop(heartbeat.address, None)
+        held = self.agents.get(heartbeat.address)
+        if (
+            held is not None
+            and held.heartbeat.incarnation <= heartbeat.incarnation
+        ):
+            self.agents.remove(heartbeat.address)
+            self._log(
+                "agent_gone",
+                agent=heartbeat.name,
+                silent_ms=now_ms - held.heard_ms,
+            )
+
     def _log_change(
         self, before: agents.Agent | None, agent: agents.Agent, now_ms: int
     ) -> None:
@@ -696,9 +749,9 @@
                     service=opening.service,
                     candidates=len(opening.candidates),
                 )
-            elif now_ms - opening.sent_ms >= OPEN_ANSWER_MS:
+            elif opening.is_overdue(now_ms):
                 self._next_candidate(flow, opening, now_ms)
-        self._run(self._lookups.tick(now_ms), now_ms)
+        self._run(self._lookups.tick(now_ms))
 
     def sweep(self, now_ms: int) -> None:
         """Forgets what is out of date; to be called each second."""
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -20,12 +20,19 @@
 class Phase(enum.Enum):
     """Where a flow is in its life."""
 
+    # Held until the backend server bears it.
+    HELD = "held"
     OPENING = "opening"
     # The backend server has accepted; the caller's answer is awaited.
     ACCEPTED = "accepted"
     OPEN = "open"
     ENDED = "ended"
 
+    @property
+    def is_owned(self) -> bool:
+        """Whether the backend server has, or has had, the flow."""
+        return self not in (Phase.HELD, Phase.OPENING)
+
 
 @dataclasses.dataclass(slots=True)
 class Flow:
@@ -38,6 +45,8 @@
             before it has accepted.
         others: Agents that may open the flow instead, while it is opening.
         opening_data: The opening packet, while it is opening.
+        sent_ms: When it is given to the backend server; in the future for a
+            flow that is held.
         request_ms: When the request in progress began, None if none is.
     """
 
@@ -84,7 +93,7 @@
         if len(self._flows) >= MAX_FLOWS:
             self.remove(next(iter(self._flows)))
         self._flows[key] = flow
-        if flow.phase is Phase.OPENING:
+        if not flow.phase.is_owned:
             self._opening[key] = flow
         self.open_flows += flow.phase is not Phase.ENDED
 
@@ -101,11 +110,17 @@
             flow.phase is not Phase.ENDED
         )
         flow.phase = phase
-        if phase is not Phase.OPENING:
+        if phase.is_owned:
             self._opening.pop(key, None)
             flow.opening_data = b""
             flow.others = ()
 
+    def clear(self) -> None:
+        """Removes all flows."""
+        self._flows.clear()
+        self._opening.clear()
+        self.open_flows = 0
+
     def use(self, key: packet.FlowKey, flow: Flow, now_ms: int) -> None:
         """Notes that a packet of a flow has passed."""
         flow.used_ms = now_ms
--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -114,7 +114,7 @@
 
         Args:
             received: The packet.
-            agents: Agents that may own its flow.
+            agents: Agents that may own its flow, the likely ones first.
             now_ms: Current time.
             without: Agent that is known not to own it.
         """
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -65,6 +65,18 @@
     flows: int
 
 
+class Held(NamedTuple):
+    """The agent opens a flow later, when its backend server bears it.
+
+    Attributes:
+        wait_ms: How long it holds the opening packet.
+    """
+
+    flow: packet.FlowKey
+    agent: Address
+    wait_ms: int
+
+
 class Refused(NamedTuple):
     """No agent that was asked takes a flow.
 
@@ -198,6 +210,7 @@
     Open
     | Deliver
     | Opened
+    | Held
     | Refused
     | Ask
     | Answer
@@ -211,6 +224,7 @@
     Open,
     Deliver,
     Opened,
+    Held,
     Refused,
     Ask,
     Answer,
--- /dev/null
+++ b/tests/test_l4_flows.py
@@ -0,0 +1,294 @@
+"""Flows over balancers and agents in memory, with seeded faults."""
+
+import random
+
+import pytest
+
+from sapphirelift.core.l4 import agents
+from sapphirelift.standins import flow_ends
+from sapphirelift.standins import packet_network
+
+SEEDS = (1, 2, 3, 4, 5)
+
+
+def network(
+    seed: int = 1,
+    *,
+    balancers: int = 3,
+    agents: int = 4,
+    loss: float = 0.0,
+) -> packet_network.Network:
+    """Returns a network whose daemons know each other."""
+    made = packet_network.Network(seed, loss=loss)
+    for _ in range(agents):
+        made.add_agent()
+    for _ in range(balancers):
+        made.add_balancer()
+    made.run(500)
+    return made
+
+
+def open_flows(
+    made: packet_network.Network, count: int
+) -> list[flow_ends.CallerFlow]:
+    """Opens flows a few milliseconds apart, and waits until they are open."""
+    flows = []
+    for _ in range(count):
+        flows.append(made.open_flow())
+        made.run(5)
+    made.run(1500)
+    assert [f.state for f in flows] == ["open"] * count
+    return flows
+
+
+def exchange(
+    made: packet_network.Network,
+    flows: list[flow_ends.CallerFlow],
+    *,
+    wait_ms: int = 1500,
+) -> None:
+    """Sends a request on each flow and waits for the answers."""
+    for flow in flows:
+        flow.request()
+        made.run(2)
+    made.run(wait_ms)
+
+
+class TestPath:
+    """A request on a quiet network."""
+
+    def test_requests_are_answered(self) -> None:
+        """Guards against a path that loses packets without a fault."""
+        made = network()
+        flows = open_flows(made, 20)
+        exchange(made, flows)
+        assert [f.answers for f in flows] == [1] * 20
+        assert made.resets == []
+        assert all(made.astray(f.flow) == 0 for f in flows)
+
+    def test_flows_are_spread_evenly(self) -> None:
+        """Guards against one backend server that gets all flows."""
+        made = network()
+        open_flows(made, 40)
+        counts = [len(h.backend.opened) for h in made.agents.values()]
+        assert max(counts) - min(counts) <= 4
+
+    def test_unknown_route_is_refused_at_once(self) -> None:
+        """Guards against callers that wait for a route that is not there."""
+        made = network()
+        caller = made.open_flow(port=9)
+        made.run(20)
+        assert caller.state == "reset"
+
+
+class TestOwner:
+    """The owner of a flow, after its packets have moved."""
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_moved_packets_reach_the_owner(self, seed: int) -> None:
+        """Guards against flows broken by balancers that start and end."""
+        made = network(seed, loss=0.02)
+        flows = open_flows(made, 30)
+        rng = random.Random(seed)
+        for step in range(8):
+            gone = rng.choice(list(made.rotation))
+            made.rotation.remove(gone)
+            made.balancers.pop(gone)
+            made.add_balancer(f"10.1.1.{step}")
+            made.rotation.sort(key=lambda _: rng.random())
+            made.run(200)
+            exchange(made, flows, wait_ms=3000)
+        assert [f.answers for f in flows] == [8] * 30
+        assert made.resets == []
+        assert all(made.astray(f.flow) == 0 for f in flows)
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_agent_restart_loses_no_flow(self, seed: int) -> None:
+        """Guards against flows lost with an agent's table.
+
+        The packets also move, so that neither side knows the owner. A packet
+        may reach another backend server once, which sends it back.
+        """
+        made = network(seed)
+        flows = open_flows(made, 20)
+        for host in made.agents.values():
+            host.stop_agent()
+        made.run(300)
+        for host in made.agents.values():
+            host.start_agent()
+        for ip in list(made.balancers):
+            made.add_balancer(ip)
+        made.run(1200)
+        exchange(made, flows, wait_ms=3000)
+        assert [f.answers for f in flows] == [1] * 20
+        assert made.resets == []
+
+    def test_flow_at_a_service_that_the_route_has_left(self) -> None:
+        """Guards against resets of flows opened under another split.
+
+        A balancer that starts after a change of the configuration has to ask
+        the agents of services that the route names no more.
+        """
+        made = packet_network.Network(1)
+        made.set_configuration(
+            packet_network.configuration(services=("shop", "packing"))
+        )
+        for service in ("shop", "shop", "packing", "packing"):
+            made.add_agent(service=service)
+        made.add_balancer()
+        made.run(500)
+        flows = open_flows(made, 20)
+        made.set_configuration(packet_network.configuration(2))
+        made.rotation.clear()
+        made.add_balancer("10.1.0.9")
+        made.run(500)
+        exchange(made, flows)
+        assert made.resets == []
+        assert [f.answers for f in flows] == [1] * 20
+
+    def test_flow_that_is_nowhere_is_reset(self) -> None:
+        """Guards against callers that wait on flows whose server is gone."""
+        made = network(agents=2)
+        flows = open_flows(made, 10)
+        for host in made.agents.values():
+            host.start_backend()
+            host.report()
+        made.run(100)
+        exchange(made, flows, wait_ms=100)
+        assert [f.state for f in flows] == ["reset"] * 10
+
+    def test_unheard_agent_keeps_flows_from_being_reset(self) -> None:
+        """Guards against resets by a balancer that does not hear all agents."""
+        made = network(agents=3)
+        flows = open_flows(made, 15)
+        cut = next(iter(made.agents.values()))
+        cut.is_cut = True
+        for ip in list(made.balancers):
+            made.add_balancer(ip)
+        made.run(500)
+        exchange(made, flows)
+        assert made.resets == []
+        cut.is_cut = False
+        made.run(3000)
+        assert [f.answers for f in flows] == [1] * 15
+
+
+class TestOpening:
+    """Who opens a flow when the first choice does not."""
+
+    def test_dead_agent_costs_less_than_a_copy(self) -> None:
+        """Guards against openings that wait for the caller's copy."""
+        made = network(agents=2)
+        dead = next(iter(made.agents.values()))
+        dead.stop_agent()
+        flows = [made.open_flow() for _ in range(4)]
+        made.run(180)
+        assert [f.state for f in flows] == ["open"] * 4
+
+    def test_bounced_opening_goes_to_the_next_agent(self) -> None:
+        """Guards against openings lost at a full backend server."""
+        made = network(agents=3)
+        hosts = list(made.agents.values())
+        hosts[0].backend.accepts = hosts[1].backend.accepts = False
+        flows = open_flows(made, 6)
+        assert all(made.owner(f.flow) is hosts[2] for f in flows)
+
+    def test_nobody_can_serve(self) -> None:
+        """Guards against callers kept waiting although nobody can serve."""
+        made = network(agents=2)
+        made.run(4000)
+        for host in made.agents.values():
+            host.is_draining = True
+            host.report()
+        made.run(50)
+        caller = made.open_flow()
+        made.run(20)
+        assert caller.state == "reset"
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_copies_open_one_flow(self, seed: int) -> None:
+        """Guards against a caller and a balancer that differ on the owner."""
+        made = network(seed, loss=0.25)
+        flows = [made.open_flow() for _ in range(20)]
+        made.run(2000)
+        made.loss = 0.0
+        opened = [f for f in flows if f.state == "open"]
+        assert len(opened) >= 15
+        exchange(made, opened, wait_ms=4000)
+        assert [f.answers for f in opened] == [1] * len(opened)
+        assert made.resets == []
+
+
+class TestSparing:
+    """Backend servers that should get nothing, or little."""
+
+    def test_draining_one_gets_no_new_flows(self) -> None:
+        """Guards against new work for a server that leaves."""
+        made = network(agents=3)
+        leaving = next(iter(made.agents.values()))
+        flows = open_flows(made, 9)
+        leaving.is_draining = True
+        leaving.report()
+        before = len(leaving.backend.opened)
+        open_flows(made, 12)
+        assert len(leaving.backend.opened) == before
+        exchange(made, flows)
+        assert [f.answers for f in flows] == [1] * 9
+
+    def test_evacuated_data_centre_gets_no_new_flows(self) -> None:
+        """Guards against new work in a data centre that is out."""
+        made = packet_network.Network(1)
+        hosts = [made.add_agent(data_centre=d) for d in ("a", "a", "b", "b")]
+        made.add_balancer()
+        made.run(500)
+        made.evacuate("b")
+        open_flows(made, 12)
+        assert [len(h.backend.opened) for h in hosts[2:]] == [0, 0]
+        made.evacuate()
+        made.run(500)
+        open_flows(made, 12)
+        assert all(h.backend.opened for h in hosts)
+
+    def test_cold_one_gets_its_rate(self) -> None:
+        """Guards against more new flows than a cold server bears.
+
+        All servers are cold, so that flows wait for their turn.
+        """
+        made = packet_network.Network(1)
+        made.set_configuration(
+            packet_network.configuration(cold_opens_per_s=4.0)
+        )
+        hosts = [made.add_agent(cold_ms=10_000) for _ in range(2)]
+        made.add_balancer()
+        made.run(500)
+        opened: list[list[int]] = []
+        for _ in range(30):
+            made.open_flow()
+            made.run(50)
+            opened.append([len(h.backend.opened) for h in hosts])
+        per_s = [
+            opened[i + 20][h] - opened[i][h]
+            for i in range(len(opened) - 20)
+            for h in range(2)
+        ]
+        assert max(per_s) <= 4.0 * 1.5 + 5
+        assert sum(opened[-1]) >= 8
+
+    def test_cold_one_without_a_rate_is_used_last(self) -> None:
+        """Guards against an empty new server that gets all new flows."""
+        made = network(agents=2)
+        open_flows(made, 30)
+        cold = made.add_agent(cold_ms=10_000)
+        made.run(500)
+        open_flows(made, 20)
+        assert len(cold.backend.opened) <= 10
+
+    def test_silent_server_gets_no_new_flows(self) -> None:
+        """Guards against new flows for a server that has vanished."""
+        made = network(agents=2)
+        silent = next(iter(made.agents.values()))
+        silent.is_reporting = False
+        made.run(5000)
+        assert silent.agent.state(made.now_ms) == agents.UNAVAILABLE
+        open_flows(made, 6)
+        assert silent.backend.opened == set()
