Reset flows of instances that are lost for certain

A balancer went on sending to an agent that had said it was gone, and heartbeats that arrived out of order brought it back. Change: an agent that is silent owns nothing after 2.5 s, at once without a backend server, and after the contact bound if it announced a stop.

--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -40,6 +40,7 @@
             replica=settings.admin_address,
             now_ms=clock.now_ms(),
             rng=self.rng,
+            contact_ms=settings.contact_ms,
         )
         self._held: dict[str, Any] = {}
         self._is_fetching = False
--- a/sapphirelift/core/l4/agents.py
+++ b/sapphirelift/core/l4/agents.py
@@ -17,6 +17,9 @@
 
 # Agents send a heartbeat each 400 ms; three missing ones in a row.
 SUSPECT_AFTER_MS = 1300
+# A process that is killed is back within about 2 s. Callers give requests up
+# after 1.2 s and more, so that waiting for longer serves nobody.
+LOST_AFTER_MS = 2500
 # An agent that has not answered an opening packet gets no further ones for
 # this long, unless a heartbeat shows that it runs.
 UNANSWERED_OPEN_MS = 500
@@ -63,6 +66,26 @@
         """Tells whether its heartbeats arrive."""
         return now_ms - self.heard_ms <= SUSPECT_AFTER_MS
 
+    def may_own(self, now_ms: int, *, contact_ms: int) -> bool:
+        """Tells whether a flow that nobody else owns may be there.
+
+        Args:
+            now_ms: Current time.
+            contact_ms: Silence after which an instance that has announced a
+                stop counts as lost.
+        """
+        if self.is_alive(now_ms):
+            return True
+        silent_ms = now_ms - self.heard_ms
+        match self.heartbeat.state:
+            case "unavailable":
+                # Without a backend server there are no flows either.
+                return False
+            case "leaving":
+                return silent_ms <= contact_ms
+            case _:
+                return silent_ms <= LOST_AFTER_MS
+
     def may_open(self, now_ms: int) -> bool:
         """Tells whether it may be given new flows."""
         return (
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import random
+from typing import NamedTuple
 
 from sapphirelift.core.l4 import actions
 from sapphirelift.core.l4 import agents
@@ -82,6 +83,13 @@
         return now_ms - since_ms >= OPEN_ANSWER_MS
 
 
+class _Gone(NamedTuple):
+    """An agent that has ended together with its backend server."""
+
+    incarnation: int
+    since_ms: int
+
+
 class Balancer:
     """Decisions of one balancer.
 
@@ -100,6 +108,7 @@
         replica: messages.Address,
         now_ms: int,
         rng: random.Random,
+        contact_ms: int = 4000,
     ) -> None:
         """Creates a balancer that knows nobody.
 
@@ -108,6 +117,8 @@
             replica: Where it serves its configuration.
             now_ms: Current time.
             rng: Source of the choice of peers.
+            contact_ms: Silence after which an instance that has announced a
+                stop, or has never been heard, counts as lost.
         """
         self.configuration = routes.Configuration()
         self.evacuations = routes.Evacuations()
@@ -119,6 +130,8 @@
         self._address = address
         self._replica = replica
         self._rng = rng
+        self._contact_ms = contact_ms
+        self._gone: dict[messages.Address, _Gone] = {}
         self._unheard: dict[messages.Address, int] = {}
         self._started_ms = now_ms
         self._owners: collections.OrderedDict[packet.FlowKey, _Owner] = (
@@ -346,6 +359,9 @@
             self._reset(received)
             return
         owner = self._owners.get(flow)
+        if owner is not None and self._is_lost(owner.address, now_ms):
+            del self._owners[flow]
+            owner = None
         if owner is not None:
             self._owners.move_to_end(flow)
             self._check_alternative(owner, received)
@@ -357,6 +373,14 @@
             return
         self._look_up(received, now_ms)
 
+    def _is_lost(self, address: messages.Address, now_ms: int) -> bool:
+        if address in self._gone:
+            return True
+        agent = self.agents.get(address)
+        return agent is not None and not agent.may_own(
+            now_ms, contact_ms=self._contact_ms
+        )
+
     def _check_alternative(
         self, owner: _Owner, received: packet.Packet
     ) -> None:
@@ -397,23 +421,33 @@
         self._run(
             self._lookups.begin(
                 received,
-                self._possible_owners(route),
+                self._possible_owners(route, now_ms),
                 now_ms,
                 without=without,
             )
         )
 
-    def _possible_owners(self, route: routes.Route) -> list[messages.Address]:
+    def _possible_owners(
+        self, route: routes.Route, now_ms: int
+    ) -> list[messages.Address]:
         """Returns the agents that may own a flow of a route, likely first.
 
         An earlier configuration may have sent flows of the route to any
         service, so that agents of other services come last.
         """
-        likely = [a.address for a in self.agents.of_services(route.services)]
-        found = set(likely)
-        others = [a.address for a in self.agents if a.address not in found]
-        unheard = [a for a in self._unheard if self.agents.get(a) is None]
-        return [*likely, *others, *unheard][:MAX_ASKED]
+        services = set(route.services)
+        likely: list[messages.Address] = []
+        others: list[messages.Address] = []
+        for agent in self.agents:
+            if agent.may_own(now_ms, contact_ms=self._contact_ms):
+                is_likely = agent.heartbeat.service in services
+                (likely if is_likely else others).append(agent.address)
+        others += [
+            address
+            for address, found_ms in self._unheard.items()
+            if now_ms - found_ms <= self._contact_ms
+        ]
+        return [*likely, *others][:MAX_ASKED]
 
     def _run(self, steps: list[lookup.Step]) -> None:
         for step in steps:
@@ -568,6 +602,12 @@
         if heartbeat.state == agents.GONE:
             self._on_gone(heartbeat, now_ms)
             return
+        gone = self._gone.get(heartbeat.address)
+        if gone is not None:
+            if heartbeat.incarnation <= gone.incarnation:
+                self.counters["heartbeats_overtaken"] += 1
+                return
+            del self._gone[heartbeat.address]
         before = self.agents.hear(heartbeat, now_ms)
         self._unheard.pop(heartbeat.address, None)
         known = self.agents.get(heartbeat.address)
@@ -578,6 +618,7 @@
     def _on_gone(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
         """Forgets an agent that ends together with its backend server."""
         self._unheard.pop(heartbeat.address, None)
+        self._gone[heartbeat.address] = _Gone(heartbeat.incarnation, now_ms)
         held = self.agents.get(heartbeat.address)
         if (
             held is not None
@@ -649,7 +690,11 @@
 
     def add_agent(self, address: messages.Address, now_ms: int) -> None:
         """Introduces this balancer to an agent that it has not heard."""
-        if self.agents.get(address) is not None or address in self._unheard:
+        if (
+            self.agents.get(address) is not None
+            or address in self._unheard
+            or address in self._gone
+        ):
             return
         if len(self._unheard) < agents.MAX_AGENTS:
             self._unheard[address] = now_ms
@@ -719,7 +764,7 @@
         quiet = [
             agent.address for agent in self.agents if not agent.is_alive(now_ms)
         ]
-        quiet += [a for a in self._unheard if self.agents.get(a) is None]
+        quiet += self._unheard
         if len(quiet) > GOSSIP_HELLOS:
             quiet = self._rng.sample(quiet, GOSSIP_HELLOS)
         for address in quiet:
@@ -764,6 +809,9 @@
         for address, found_ms in list(self._unheard.items()):
             if now_ms - found_ms > agents.FORGET_AFTER_MS:
                 del self._unheard[address]
+        for address, gone in list(self._gone.items()):
+            if now_ms - gone.since_ms > agents.FORGET_AFTER_MS:
+                del self._gone[address]
         for address, heard_ms in list(self.peers.items()):
             if now_ms - heard_ms > FORGET_PEER_MS:
                 del self.peers[address]
--- a/sapphirelift/deployment.py
+++ b/sapphirelift/deployment.py
@@ -31,6 +31,7 @@
         report_interval_ms: Interval of the backend server's reports.
         stop_timeout_ms: Time from a signal to stop until the process must
             have ended.
+        contact_ms: Silence after which an instance counts as lost.
         is_first_start: Whether the whole system starts for the first time.
     """
 
@@ -45,6 +46,7 @@
     platform: str
     report_interval_ms: int
     stop_timeout_ms: int
+    contact_ms: int
     is_first_start: bool = False
     reports: str = ""
     outbound: str = ""
@@ -117,7 +119,7 @@
     first, last = settings.internal_ports
     if not 0 < first < last < 65536:
         raise _problem("internal_ports", "use two ports or more")
-    for field in ("report_interval_ms", "stop_timeout_ms"):
+    for field in ("report_interval_ms", "stop_timeout_ms", "contact_ms"):
         if getattr(settings, field) <= 0:
             raise _problem(field, "use a duration above 0")
     return settings
--- a/sapphirelift/standins/packet_network.py
+++ b/sapphirelift/standins/packet_network.py
@@ -25,6 +25,7 @@
 REPORT_INTERVAL_MS = 1000
 HEARTBEAT_MS = 400
 TICK_MS = 20
+GOSSIP_MS = 500
 ROUTE_IP = packets.ip_number("198.18.0.1")
 ROUTE_PORT = 443
 
@@ -247,6 +248,7 @@
         self._every(HEARTBEAT_MS, self._beat)
         self._every(REPORT_INTERVAL_MS, self._report)
         self._every(TICK_MS, self._tick)
+        self._every(GOSSIP_MS, self._gossip)
         self._every(1000, self._sweep)
 
     # Building.
@@ -387,6 +389,12 @@
                 host.core.tick(self.now_ms)
                 self.perform(host)
 
+    def _gossip(self) -> None:
+        for host in self.balancers.values():
+            if host.is_up:
+                host.core.gossip(self.now_ms)
+                self.perform(host)
+
     def _sweep(self) -> None:
         for host in self._hosts():
             host.core.sweep(self.now_ms)
--- a/tests/test_l4_flows.py
+++ b/tests/test_l4_flows.py
@@ -173,6 +173,108 @@
         assert [f.answers for f in flows] == [1] * 15
 
 
+class TestLostInstances:
+    """Flows after instances have vanished."""
+
+    def restart_without(
+        self, made: packet_network.Network, host: packet_network.AgentHost
+    ) -> None:
+        """Restarts all daemons and backend servers but one."""
+        host.stop_agent()
+        host.backend.is_alive = False
+        for other in made.agents.values():
+            if other is not host:
+                other.start_backend()
+                other.start_agent()
+        for ip in list(made.balancers):
+            made.add_balancer(ip)
+
+    def test_flows_of_a_lost_instance_end(self) -> None:
+        """Guards against callers that wait for an instance that is lost.
+
+        The balancers have the owner in their caches.
+        """
+        made = network(agents=3)
+        flows = open_flows(made, 9)
+        lost = next(iter(made.agents.values()))
+        lost.stop_agent()
+        lost.backend.is_alive = False
+        made.run(agents.LOST_AFTER_MS + 500)
+        theirs = [f for f in flows if f.flow in lost.backend.opened]
+        exchange(made, theirs, wait_ms=50)
+        assert {f.state for f in theirs} == {"reset"}
+        assert {f.flow for f in theirs} == set(made.resets)
+
+    def test_flows_of_a_stopping_agent_are_kept(self) -> None:
+        """Guards against resets while an agent restarts by plan."""
+        made = network(agents=3)
+        flows = open_flows(made, 9)
+        host = next(iter(made.agents.values()))
+        host.agent.leave(made.now_ms)
+        made.perform(host)
+        made.run(10)
+        host.stop_agent()
+        made.run(agents.LOST_AFTER_MS + 500)
+        exchange(made, flows, wait_ms=100)
+        assert made.resets == []
+        host.start_agent()
+        made.run(1500)
+        assert [f.answers for f in flows] == [1] * 9
+
+    def test_flows_end_once_an_unheard_instance_is_given_up(self) -> None:
+        """Guards against callers that wait for an instance that is lost.
+
+        The balancers know it from the directory only.
+        """
+        made = network(agents=3)
+        flows = open_flows(made, 6)
+        lost = next(iter(made.agents.values()))
+        self.restart_without(made, lost)
+        made.run(500)
+        exchange(made, flows, wait_ms=150)
+        assert {f.state for f in flows} == {"open"}
+        made.run(4500)
+        assert {f.state for f in flows} == {"reset"}
+
+    def test_agent_that_ends_without_a_backend_server_owns_nothing(
+        self,
+    ) -> None:
+        """Guards against a minute in which no flow is reset.
+
+        After a loss of power an instance that is about to be removed starts
+        once more, without its backend server, and vanishes.
+        """
+        made = network(agents=3)
+        flows = open_flows(made, 6)
+        lost = next(iter(made.agents.values()))
+        self.restart_without(made, lost)
+        lost.start_agent()
+        made.run(1000)
+        lost.stop_agent()
+        made.run(agents.SUSPECT_AFTER_MS + 400)
+        exchange(made, flows, wait_ms=50)
+        assert {f.state for f in flows} == {"reset"}
+
+    def test_agent_that_is_gone_is_not_introduced_again(self) -> None:
+        """Guards against peers that name a removed instance."""
+        made = network(agents=3)
+        flows = open_flows(made, 6)
+        lost = next(iter(made.agents.values()))
+        for host in made.agents.values():
+            host.start_backend()
+            host.report()
+        lost.agent.on_end(f"{lost.name}-2", made.now_ms)
+        lost.agent.leave(made.now_ms)
+        made.perform(lost)
+        made.run(10)
+        lost.stop_agent()
+        for host in made.balancers.values():
+            host.core.add_agent(lost.address, made.now_ms)
+        made.run(50)
+        exchange(made, flows, wait_ms=50)
+        assert {f.state for f in flows} == {"reset"}
+
+
 class TestOpening:
     """Who opens a flow when the first choice does not."""
 
