Spread callers that return at once; reset flows of a former start

Loads were as old as the heartbeat. Callers sent requests on flows that the agent knew to be dead. Balancers that the store turned away never had the directory and dropped 346 packets of ended flows. Change: a cold server passes on only to warm ones; answers to openings bring the load; flows of a former start are reset when the next one reports; the replica of a peer names the agents. Tests: TestRestartedServer, TestSparing.

--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -196,7 +196,11 @@
         self.perform()
 
     def _replica(self) -> dict[str, Any]:
-        return self._held
+        known = self.core.known_agents() if self.core.has_directory else []
+        return self._held | {
+            "has_directory": self.core.has_directory,
+            "agents": known,
+        }
 
     def fetch_replica(self, address: messages.Address) -> None:
         """Fetches configuration and evacuations from another balancer."""
@@ -229,11 +233,17 @@
         held = fetched.get("configuration")
         if held is not None:
             self._apply_configuration(held["value"], held["revision"], source)
+        now_ms = clock.now_ms()
+        for ip, port in fetched.get("agents", ()):
+            self.core.add_agent(messages.Address(ip, port), now_ms)
+        if fetched.get("has_directory"):
+            self.core.has_directory = True
         out = fetched.get("evacuations")
         if out is not None and out["revision"] > self.core.evacuations.revision:
             self._apply_evacuations(
                 frozenset(out["data_centres"]), out["revision"], source
             )
+        self.perform()
 
     # Other daemons.
 
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -149,6 +149,7 @@
     def on_report(self, report: backend_module.Report, now_ms: int) -> None:
         """Takes a report of the backend server."""
         former = self.backend.report
+        former_heard_ms = self.backend.heard_ms
         if not self.backend.hear(report, now_ms):
             self.counters["reports_overtaken"] += 1
             self._log(
@@ -163,6 +164,8 @@
             report.born_ms,
         ):
             self._on_new_backend(former, report)
+            if former is not None:
+                self._reset_former_flows(former_heard_ms, now_ms)
         self._note_state(now_ms)
 
     def _on_new_backend(
@@ -188,6 +191,27 @@
             former=former.backend_id if former is not None else None,
         )
 
+    def _reset_former_flows(self, former_heard_ms: int, now_ms: int) -> None:
+        """Ends the flows of a former start before callers use them again.
+
+        A caller that learns of it between two requests opens another flow;
+        one that sends a request first may not be able to repeat it. Flows
+        accepted after the last report of the former start may belong to the
+        new one; they are left alone.
+        """
+        ended = [
+            (key, flow)
+            for key, flow in self.flows
+            if flow.phase is _Phase.OPEN and flow.accepted_ms < former_heard_ms
+        ]
+        for key, flow in ended:
+            self._set_idle(flow, now_ms)
+            self.flows.remove(key)
+            self.counters["resets_backend_restarted"] += 1
+            self._actions.append(actions.ResetCaller(key, flow.caller_expects))
+        if ended:
+            self._log("flows_of_former_start_reset", flows=len(ended))
+
     def on_end(self, backend_id: str, now_ms: int) -> None:
         """Takes the news that the backend server leaves now."""
         if self.backend.end(backend_id):
@@ -264,6 +288,7 @@
             self.counters["late_accepts_dropped"] += 1
             return
         flow.initial_sequence = received.sequence
+        flow.accepted_ms = now_ms
         self.flows.use(received.flow, flow, now_ms)
         if flow.phase is _Phase.OPENING:
             self.flows.move(received.flow, flow, _Phase.ACCEPTED)
@@ -395,7 +420,11 @@
             return "evacuated"
         if 0 < self._max_flows <= self.flows.open_flows:
             return "full"
-        if opened.others and self.backend.is_spared(now_ms):
+        if (
+            opened.others
+            and opened.spares_cold
+            and self.backend.is_spared(now_ms)
+        ):
             return "cold"
         return ""
 
@@ -435,6 +464,7 @@
             self.identity.service,
             flow.balancer,
             flow.others,
+            False,
             flow.opening_data,
         )
         self._refuse(key, opened, reason, 0)
@@ -455,7 +485,9 @@
                 self._send(deliver.balancer, missed)
                 return
             self.counters["packets_probed"] += 1
-            flow = flow_table.Flow(_Phase.OPEN, deliver.balancer, now_ms)
+            flow = flow_table.Flow(
+                _Phase.OPEN, deliver.balancer, now_ms, accepted_ms=now_ms
+            )
             self.flows.add(key, flow)
         if flow.phase is _Phase.ACCEPTED and not self._confirm(
             flow, received, deliver
@@ -464,6 +496,8 @@
         if flow.phase is _Phase.ACCEPTED:
             self.flows.move(key, flow, _Phase.OPEN)
         flow.balancer = deliver.balancer
+        if received.is_ack:
+            flow.caller_expects = received.acknowledged
         self.flows.use(key, flow, now_ms)
         if received.payload_bytes and flow.request_ms is None:
             self._set_busy(flow, now_ms)
--- a/sapphirelift/core/l4/agents.py
+++ b/sapphirelift/core/l4/agents.py
@@ -37,13 +37,16 @@
     Attributes:
         heartbeat: Its newest heartbeat.
         heard_ms: When it came.
-        opens_since: Opening packets sent to it since then.
+        flows: Flows that it has told of last.
+        opens_since: Opening packets sent to it since the heartbeat that it
+            has not answered.
         unanswered_ms: When an opening packet was given up, None if none was
             since the newest heartbeat.
     """
 
     heartbeat: messages.Heartbeat
     heard_ms: int
+    flows: int = 0
     opens_since: int = 0
     unanswered_ms: int | None = None
 
@@ -62,6 +65,11 @@
         """Where it receives messages."""
         return self.heartbeat.address
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether its backend server has just started."""
+        return self.heartbeat.cold_ms > 0
+
     def is_alive(self, now_ms: int) -> bool:
         """Tells whether its heartbeats arrive."""
         return now_ms - self.heard_ms <= SUSPECT_AFTER_MS
@@ -131,7 +139,7 @@
         held = self._by_address.get(heartbeat.address)
         if held is None:
             if len(self._by_address) < MAX_AGENTS:
-                self._add(Agent(heartbeat, now_ms))
+                self._add(Agent(heartbeat, now_ms, heartbeat.flows))
             return None
         newest = held.heartbeat
         if (heartbeat.incarnation, heartbeat.number) <= (
@@ -142,10 +150,11 @@
         before = dataclasses.replace(held)
         if heartbeat.service != newest.service:
             self.remove(heartbeat.address)
-            self._add(Agent(heartbeat, now_ms))
+            self._add(Agent(heartbeat, now_ms, heartbeat.flows))
             return before
         held.heartbeat = heartbeat
         held.heard_ms = now_ms
+        held.flows = heartbeat.flows
         held.opens_since = 0
         held.unanswered_ms = None
         return before
--- a/sapphirelift/core/l4/backend.py
+++ b/sapphirelift/core/l4/backend.py
@@ -41,6 +41,7 @@
 
     Attributes:
         report: Its newest report, None before the first one.
+        heard_ms: When that came.
     """
 
     def __init__(
@@ -49,7 +50,7 @@
         self.report: Report | None = None
         self.cold_opens_per_s = cold_opens_per_s
         self._silent_after_ms = report_interval_ms * SILENT_INTERVALS
-        self._heard_ms = 0
+        self.heard_ms = 0
         self._is_gone = False
         self._cold_until_ms = 0
         self._opens: collections.deque[int] = collections.deque()
@@ -71,7 +72,7 @@
             ) and (self._is_gone or report.number <= held.number):
                 return False
         self.report = report
-        self._heard_ms = now_ms
+        self.heard_ms = now_ms
         self._is_gone = False
         self._cold_until_ms = now_ms + report.cold_ms
         return True
@@ -92,7 +93,7 @@
         if (
             self.report is None
             or self._is_gone
-            or now_ms - self._heard_ms > self._silent_after_ms
+            or now_ms - self.heard_ms > self._silent_after_ms
         ):
             return agents.UNAVAILABLE
         return agents.DRAINING if self.report.is_draining else agents.READY
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -279,7 +279,7 @@
             flow=str(flow),
             agent=best.name,
             service=service,
-            flows=best.heartbeat.flows,
+            flows=best.flows,
             opens_since=best.opens_since,
             busy=round(best.heartbeat.busy, 2),
             load_age_ms=now_ms - best.heard_ms,
@@ -294,21 +294,27 @@
         if agent is not None:
             agent.opens_since += 1
         self.counters["opens_sent"] += 1
+        others = tuple(opening.candidates[opening.index + 1 :])
         message = messages.Open(
             opening.service,
             self._address,
-            tuple(opening.candidates[opening.index + 1 :]),
+            others,
+            any(self._is_warm(other) for other in others),
             opening.data,
         )
         self._actions.append(actions.SendDaemon(address, message))
 
+    def _is_warm(self, address: messages.Address) -> bool:
+        agent = self.agents.get(address)
+        return agent is not None and not agent.is_cold
+
     def _deliver_open(
         self, address: messages.Address, received: packet.Packet
     ) -> None:
         """Sends a copy of an opening packet to the agent that has opened."""
         agent = self.agents.get(address)
         service = agent.heartbeat.service if agent is not None else ""
-        message = messages.Open(service, self._address, (), received.raw)
+        message = messages.Open(service, self._address, (), False, received.raw)
         self._actions.append(actions.SendDaemon(address, message))
 
     def _repeat_open(
@@ -532,6 +538,8 @@
         agent = self.agents.get(opened.agent)
         if agent is not None:
             agent.unanswered_ms = None
+            agent.flows = opened.flows
+            agent.opens_since = max(agent.opens_since - 1, 0)
         opening = self._openings.pop(flow, None)
         if opening is not None:
             self._remember(
@@ -700,6 +708,10 @@
             self._unheard[address] = now_ms
             self._say_hello(address)
 
+    def known_agents(self) -> list[messages.Address]:
+        """Returns the addresses of all agents, heard or not."""
+        return [*(agent.address for agent in self.agents), *self._unheard]
+
     def _say_hello(self, address: messages.Address) -> None:
         self._actions.append(
             actions.SendDaemon(address, messages.Hello(self._address))
@@ -716,6 +728,7 @@
             self._send_revisions(sender, is_reply=True)
         if (
             revisions.configuration_revision > self.configuration.revision
+            or (revisions.has_directory and not self.has_directory)
             or (
                 revisions.evacuations_revision > 0
                 and self.evacuations.revision == 0
@@ -743,6 +756,7 @@
             evacuations_revision=self.evacuations.revision,
             evacuations_changed_revision=self.evacuations.changed_revision,
             agents=tuple(known),
+            has_directory=self.has_directory,
             is_reply=is_reply,
         )
         self._actions.append(actions.SendDaemon(address, message))
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -47,6 +47,10 @@
         opening_data: The opening packet, while it is opening.
         sent_ms: When it is given to the backend server; in the future for a
             flow that is held.
+        accepted_ms: When the backend server accepted it, or was first seen
+            to hold it.
+        caller_expects: What the caller acknowledged last, which a reset has
+            to name.
         request_ms: When the request in progress began, None if none is.
     """
 
@@ -58,6 +62,8 @@
     others: tuple[messages.Address, ...] = ()
     opening_data: bytes = b""
     sent_ms: int = 0
+    accepted_ms: int = 0
+    caller_expects: int = 0
     request_ms: int | None = None
 
 
@@ -74,6 +80,9 @@
     def __len__(self) -> int:
         return len(self._flows)
 
+    def __iter__(self) -> Iterator[tuple[packet.FlowKey, Flow]]:
+        return iter(self._flows.items())
+
     def get(self, key: packet.FlowKey) -> Flow | None:
         """Returns a flow, or None."""
         return self._flows.get(key)
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -27,12 +27,15 @@
         service: Service that the flow is for.
         balancer: Daemon that is told where the flow has opened.
         others: Agents that may take the flow instead, best first.
+        spares_cold: Whether a warm backend server is among them, so that a
+            cold one may pass the flow on.
         data: The datagram of the caller.
     """
 
     service: str
     balancer: Address
     others: tuple[Address, ...]
+    spares_cold: bool
     data: bytes
 
 
@@ -194,6 +197,7 @@
         evacuations_changed_revision: Revision at which it learned of their
             last change.
         agents: Addresses of some agents that it hears.
+        has_directory: Whether its replica names all agents.
         is_reply: Whether it answers another one, and needs no answer.
     """
 
@@ -203,6 +207,7 @@
     evacuations_revision: int
     evacuations_changed_revision: int
     agents: tuple[Address, ...]
+    has_directory: bool
     is_reply: bool
 
 
--- a/sapphirelift/core/l4/placement.py
+++ b/sapphirelift/core/l4/placement.py
@@ -28,7 +28,7 @@
             slower.
     """
     beat = agent.heartbeat
-    flows = beat.flows + agent.opens_since
+    flows = agent.flows + agent.opens_since
     work = (flows + BUSY_WEIGHT * beat.busy) / max(beat.slots, 1)
     if beat.response_ms > SLOW_RATIO * usual_response_ms:
         work *= beat.response_ms / max(usual_response_ms, 1.0)
--- a/tests/test_l4_flows.py
+++ b/tests/test_l4_flows.py
@@ -275,6 +275,40 @@
         assert {f.state for f in flows} == {"reset"}
 
 
+class TestRestartedServer:
+    """Flows of a backend server that has started again."""
+
+    def test_idle_callers_learn_of_it(self) -> None:
+        """Guards against requests sent on flows that are known to be dead.
+
+        A request that is not idempotent could not be repeated then.
+        """
+        made = network(agents=2)
+        flows = open_flows(made, 10)
+        host = next(iter(made.agents.values()))
+        theirs = [f for f in flows if f.flow in host.backend.opened]
+        made.run(1000)
+        host.start_backend()
+        host.report()
+        made.run(50)
+        assert {f.state for f in theirs} == {"reset"}
+        assert set(made.resets) == {f.flow for f in theirs}
+
+    def test_flows_of_the_new_start_are_kept(self) -> None:
+        """Guards against resets of flows opened before the first report."""
+        made = network(agents=1)
+        host = next(iter(made.agents.values()))
+        made.run(700)
+        host.is_reporting = False
+        host.start_backend()
+        flows = open_flows(made, 5)
+        host.is_reporting = True
+        host.report()
+        exchange(made, flows)
+        assert [f.answers for f in flows] == [1] * 5
+        assert made.resets == []
+
+
 class TestOpening:
     """Who opens a flow when the first choice does not."""
 
@@ -385,6 +419,26 @@
         open_flows(made, 20)
         assert len(cold.backend.opened) <= 10
 
+    def test_callers_that_return_at_once_are_spread(self) -> None:
+        """Guards against one cold server that gets a whole reconnect storm.
+
+        Pattern: all servers have just started, and all callers come back
+        within a second, through several balancers.
+        """
+        made = packet_network.Network(1)
+        hosts = [made.add_agent(cold_ms=2000) for _ in range(3)]
+        for _ in range(6):
+            made.add_balancer()
+        made.run(500)
+        flows = []
+        for _ in range(150):
+            flows.append(made.open_flow())
+            made.run(4)
+        made.run(500)
+        assert {f.state for f in flows} == {"open"}
+        counts = [len(h.backend.opened) for h in hosts]
+        assert max(counts) <= 1.25 * min(counts)
+
     def test_silent_server_gets_no_new_flows(self) -> None:
         """Guards against new flows for a server that has vanished."""
         made = network(agents=2)
