Speak the published store protocol with one client

Cause: the product's own object client spoke a protocol of its own, beside the new client of the deployed roles. Change: platform/store.py is the one client of the store; platform/client.py maps the product's paths to kinds and names on it; the stand-in speaks the published protocol. A conditional deletion marks the object first, because the published protocol does not tell who deleted. Two tests lose answers at the store's client now; what they require is the same.

--- a/sapphirelift/_packet_node.py
+++ b/sapphirelift/_packet_node.py
@@ -17,6 +17,7 @@
 from sapphirelift.core.l4 import actions
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import samples as samples_module
 from sapphirelift.operators import admin
 from sapphirelift.peers import datagrams
 from sapphirelift.platform import packets
@@ -35,6 +36,7 @@
     """Decisions of one role; each agent and balancer has its own module."""
 
     counters: collections.Counter[str]
+    samples: samples_module.Samples
 
     @property
     def has_pending(self) -> bool:
@@ -77,6 +79,7 @@
         self._malformed_ms: dict[str, int] = {}
         self._caller_port = deployment.address(settings.packets).port
         self._is_ticking = False
+        self._histograms: Any = None
         self.daemons = datagrams.DatagramSocket(
             settings.daemon_address,
             self._on_daemon_datagram,
@@ -84,7 +87,10 @@
             name="daemons",
         )
         self.admin = admin.AdminServer(
-            settings.admin_address, self, pages=pages
+            settings.admin_address,
+            self,
+            pages=pages,
+            histograms=self.histograms,
         )
 
     @property
@@ -246,3 +252,18 @@
             eventlet.sleep(SWEEP_S)
             self.core.sweep(clock.now_ms())
             self.perform()
+            self._observe()
+
+    def _observe(self) -> None:
+        if self._histograms is None:
+            # Not imported at the start, see ``operators.admin``.
+            from sapphirelift.operators import latency  # noqa: PLC0415
+
+            self._histograms = latency.LatencyHistograms()
+        self._histograms.observe(self.core.samples.take())
+
+    def histograms(self) -> bytes:
+        """Returns latency histograms in the text format of metrics."""
+        if self._histograms is None:
+            return b""
+        return self._histograms.exposition()
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -13,6 +13,7 @@
 from sapphirelift.core.l4 import flow_table
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import samples
 
 _Phase = flow_table.Phase
 
@@ -26,6 +27,13 @@
 # Callers give an opening packet up after 1.4 s; what is left then is the way
 # there and back, and another try.
 MAX_HOLD_MS = 1000
+MAX_OVERTIME_MS = 200
+# A backend server queues a few requests more than it has slots; half as many
+# keep it busy without making them wait for long.
+EXTRA_OPENS_PER_SLOT = 0.5
+# The request of a flow without an answer for this long is not counted as in
+# progress any more, so that lost answers do not use up the room for others.
+MAX_REQUEST_MS = 5000
 # Weight of a new figure in averages.
 RESPONSE_WEIGHT = 0.1
 # Time constant of the average of requests in progress.
@@ -60,8 +68,8 @@
         flows: Its flows.
         balancers: When each balancer was last heard.
         counters: Events by name.
-        response_times_ms: Times from a request to its answer since they
-            were last taken, for a histogram.
+        samples: Latencies for histograms: of accepted openings, and from a
+            request to its answer.
     """
 
     def __init__(
@@ -90,9 +98,7 @@
         self.flows = flow_table.FlowTable()
         self.balancers: dict[messages.Address, int] = {}
         self.counters: collections.Counter[str] = collections.Counter()
-        self.response_times_ms: collections.deque[int] = collections.deque(
-            maxlen=1024
-        )
+        self.samples = samples.Samples("backend_accept", "response")
         self._report_interval_ms = report_interval_ms
         self._started_unix_ms = started_unix_ms
         self._has_full_table = is_first_start
@@ -293,6 +299,7 @@
         if flow.phase is _Phase.OPENING:
             self.flows.move(received.flow, flow, _Phase.ACCEPTED)
             self.counters["flows_accepted"] += 1
+            self.samples.add("backend_accept", now_ms - flow.sent_ms)
             self._log(
                 "flow_accepted",
                 flow=str(received.flow),
@@ -387,22 +394,62 @@
             others=tuple(opened.others),
             opening_data=opened.data,
             sent_ms=now_ms + wait_ms,
+            held_ms=now_ms,
         )
         self.flows.add(key, flow)
-        if wait_ms:
-            self._log(
-                "open_held",
-                flow=str(key),
-                wait_ms=wait_ms,
-                cold_ms=self.backend.cold_ms(now_ms),
-                cold_opens_per_s=self.backend.cold_opens_per_s,
-            )
-            held = messages.Held(key, self.identity.address, wait_ms)
-            self._send(opened.balancer, held)
+        if wait_ms or not self._has_room():
+            self._tell_held(key, flow, wait_ms, now_ms)
         else:
-            self._give_open(key, flow)
+            self._give_open(key, flow, now_ms)
+
+    def _tell_held(
+        self,
+        key: packet.FlowKey,
+        flow: flow_table.Flow,
+        wait_ms: int,
+        now_ms: int,
+    ) -> None:
+        self.counters["opens_held"] += 1
+        self._log(
+            "open_held",
+            flow=str(key),
+            wait_ms=wait_ms,
+            busy=self._busy,
+            opening=self.flows.waiting,
+            cold_ms=self.backend.cold_ms(now_ms),
+            cold_opens_per_s=self.backend.cold_opens_per_s,
+        )
+        held = messages.Held(key, self.identity.address, MAX_HOLD_MS)
+        self._send(flow.balancer, held)
+
+    def _has_room(self) -> bool:
+        """Tells whether the backend server can begin another request soon.
+
+        A flow that opens brings a request at once. Beyond its slots and a
+        few more, the backend server would shed it.
+        """
+        report = self.backend.report
+        slots = report.slots if report is not None else 1
+        limit = slots + max(round(slots * EXTRA_OPENS_PER_SLOT), 1)
+        return self._busy + self.flows.waiting < limit
 
-    def _give_open(self, key: packet.FlowKey, flow: flow_table.Flow) -> None:
+    def _release(self, now_ms: int) -> None:
+        """Opens held flows, the newest first.
+
+        The callers of older ones are late already; taking them first would
+        make those late that come in time.
+        """
+        for key, flow in reversed(self.flows.held()):
+            if now_ms - flow.held_ms > MAX_HOLD_MS + MAX_OVERTIME_MS:
+                self._set_idle(flow, now_ms)
+                self._pass_on(key, flow, "overloaded", now_ms)
+            elif now_ms >= flow.sent_ms and self._has_room():
+                self._give_open(key, flow, now_ms)
+
+    def _give_open(
+        self, key: packet.FlowKey, flow: flow_table.Flow, now_ms: int
+    ) -> None:
+        flow.sent_ms = now_ms
         self._actions.append(actions.SendBackend(flow.opening_data))
         self.flows.move(key, flow, _Phase.OPENING)
 
@@ -494,6 +541,7 @@
         ):
             return
         if flow.phase is _Phase.ACCEPTED:
+            flow.sent_ms = now_ms
             self.flows.move(key, flow, _Phase.OPEN)
         flow.balancer = deliver.balancer
         if received.is_ack:
@@ -559,7 +607,9 @@
         assert flow.request_ms is not None
         took_ms = now_ms - flow.request_ms
         self._set_idle(flow, now_ms)
-        self.response_times_ms.append(took_ms)
+        if self.flows.has_opening:
+            self._release(now_ms)
+        self.samples.add("response", took_ms)
         self._response_ms += RESPONSE_WEIGHT * (took_ms - self._response_ms)
 
     def _end(
@@ -671,8 +721,6 @@
         """Acts on what has taken too long; to be called each 20 ms."""
         for key, flow in self.flows.opening():
             if flow.phase is _Phase.HELD:
-                if now_ms >= flow.sent_ms:
-                    self._give_open(key, flow)
                 continue
             if now_ms - flow.sent_ms < ACCEPT_MS or not flow.others:
                 continue
@@ -680,11 +728,20 @@
             if self._unanswered >= UNANSWERED_OPENS:
                 self._unresponsive_until_ms = now_ms + UNRESPONSIVE_MS
             self._pass_on(key, flow, "unanswered", now_ms)
+        self._release(now_ms)
         self._note_state(now_ms)
 
     def sweep(self, now_ms: int) -> None:
         """Discards what is out of date; to be called each second."""
-        self.flows.sweep(now_ms, idle_timeout_ms=self._idle_timeout_ms)
+        for _, flow in self.flows:
+            request_ms = flow.request_ms
+            if request_ms is not None and now_ms - request_ms > MAX_REQUEST_MS:
+                self._set_idle(flow, now_ms)
+                self.counters["requests_without_answer"] += 1
+        for _, flow in self.flows.sweep(
+            now_ms, idle_timeout_ms=self._idle_timeout_ms
+        ):
+            self._set_idle(flow, now_ms)
         self._note_state(now_ms)
 
     def _send(
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -16,6 +16,7 @@
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import placement
 from sapphirelift.core.l4 import routes
+from sapphirelift.core.l4 import samples
 
 # An agent answers an opening packet once its backend server has. Instances
 # stall for up to 100 ms when their processor quota is used up; callers repeat
@@ -97,6 +98,8 @@
         configuration: Configuration in force.
         evacuations: Data centres that are out.
         counters: Events by name.
+        samples: Latencies for histograms: from an opening packet to its
+            acceptance, and of searches for owners.
         has_directory: Whether the addresses of all daemons are known, so
             that a flow which no agent owns does not exist.
     """
@@ -124,6 +127,7 @@
         self.evacuations = routes.Evacuations()
         self.agents = agents.Agents()
         self.counters: collections.Counter[str] = collections.Counter()
+        self.samples = samples.Samples("open", "owner_search")
         self.is_leaving = False
         self.has_directory = False
         self.peers: dict[messages.Address, int] = {}
@@ -463,13 +467,15 @@
                     self._actions.append(
                         actions.SendDaemon(address, messages.Ask(flow))
                     )
-                case lookup.Found(flow, address, packets):
+                case lookup.Found(flow, address, packets, took_ms):
+                    self.samples.add("owner_search", took_ms)
                     self._remember(flow, _Owner(address))
                     self._log(
                         "owner_found",
                         flow=str(flow),
                         agent=self._name(address),
                         packets=len(packets),
+                        took_ms=took_ms,
                     )
                     for held in packets:
                         self._deliver(address, held)
@@ -516,13 +522,13 @@
         """Takes a message from an agent or another balancer."""
         match message:
             case messages.Opened():
-                self._on_opened(message)
+                self._on_opened(message, now_ms)
             case messages.Held():
                 self._on_held(message, now_ms)
             case messages.Refused():
                 self._on_refused(message, now_ms)
             case messages.Answer():
-                self._run(self._lookups.on_answer(message))
+                self._run(self._lookups.on_answer(message, now_ms))
             case messages.Missed():
                 # Decoded by the I/O layer, see ``on_missed``.
                 raise TypeError("Missed needs its packet decoded")
@@ -533,7 +539,7 @@
             case _:
                 self.counters["dropped_unexpected_kind"] += 1
 
-    def _on_opened(self, opened: messages.Opened) -> None:
+    def _on_opened(self, opened: messages.Opened, now_ms: int) -> None:
         flow = opened.flow
         agent = self.agents.get(opened.agent)
         if agent is not None:
@@ -542,6 +548,7 @@
             agent.opens_since = max(agent.opens_since - 1, 0)
         opening = self._openings.pop(flow, None)
         if opening is not None:
+            self.samples.add("open", now_ms - opening.started_ms)
             self._remember(
                 flow,
                 _Owner(
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -47,6 +47,7 @@
         opening_data: The opening packet, while it is opening.
         sent_ms: When it is given to the backend server; in the future for a
             flow that is held.
+        held_ms: When its opening packet came.
         accepted_ms: When the backend server accepted it, or was first seen
             to hold it.
         caller_expects: What the caller acknowledged last, which a reset has
@@ -62,6 +63,7 @@
     others: tuple[messages.Address, ...] = ()
     opening_data: bytes = b""
     sent_ms: int = 0
+    held_ms: int = 0
     accepted_ms: int = 0
     caller_expects: int = 0
     request_ms: int | None = None
@@ -96,6 +98,21 @@
         """Whether a flow waits for the backend server to accept it."""
         return bool(self._opening)
 
+    @property
+    def waiting(self) -> int:
+        """Number of flows whose opening the backend server has been given."""
+        return sum(
+            flow.phase is Phase.OPENING for flow in self._opening.values()
+        )
+
+    def held(self) -> list[tuple[packet.FlowKey, Flow]]:
+        """Returns the flows that wait for their turn, the oldest first."""
+        return [
+            (key, flow)
+            for key, flow in self._opening.items()
+            if flow.phase is Phase.HELD
+        ]
+
     def add(self, key: packet.FlowKey, flow: Flow) -> None:
         """Adds a flow; the one unused for longest makes room."""
         self.remove(key)
@@ -135,10 +152,15 @@
         flow.used_ms = now_ms
         self._flows.move_to_end(key)
 
-    def sweep(self, now_ms: int, *, idle_timeout_ms: int) -> None:
-        """Discards flows that have been idle for too long."""
+    def sweep(
+        self, now_ms: int, *, idle_timeout_ms: int
+    ) -> list[tuple[packet.FlowKey, Flow]]:
+        """Discards flows that have been idle for too long; returns them."""
+        discarded = []
         idle_ms = idle_timeout_ms + IDLE_MARGIN_MS
         for key, flow in list(self._flows.items()):
             limit_ms = ENDED_MS if flow.phase is Phase.ENDED else idle_ms
             if now_ms - flow.used_ms > limit_ms:
                 self.remove(key)
+                discarded.append((key, flow))
+        return discarded
--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -33,11 +33,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Found:
-    """An agent owns the flow; the packets held so far are for it."""
+    """An agent owns the flow; the packets held so far are for it.
+
+    Attributes:
+        took_ms: How long the search took.
+    """
 
     flow: packet.FlowKey
     address: messages.Address
     packets: list[packet.Packet]
+    took_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,14 +141,17 @@
         )
         return self._go_on(received.flow, now_ms)
 
-    def on_answer(self, answer: messages.Answer) -> list[Step]:
+    def on_answer(self, answer: messages.Answer, now_ms: int) -> list[Step]:
         """Takes the answer of an agent."""
         held = self._lookups.get(answer.flow)
         if held is None:
             return []
         if answer.verdict == messages.OWNS:
             del self._lookups[answer.flow]
-            return [Found(answer.flow, answer.agent, list(held.packets))]
+            took_ms = now_ms - held.started_ms
+            return [
+                Found(answer.flow, answer.agent, list(held.packets), took_ms)
+            ]
         if answer.agent not in held.waiting:
             return []
         held.waiting.discard(answer.agent)
@@ -179,7 +187,8 @@
                 if held.probing is not None:
                     # The backend server has kept the packet.
                     del self._lookups[flow]
-                    steps.append(Found(flow, held.probing, []))
+                    took_ms = now_ms - held.started_ms
+                    steps.append(Found(flow, held.probing, [], took_ms))
                     continue
                 held.silent += len(held.waiting)
                 held.waiting.clear()
--- a/sapphirelift/operators/admin.py
+++ b/sapphirelift/operators/admin.py
@@ -35,6 +35,7 @@
         node: Inspectable,
         *,
         pages: Mapping[str, Callable[[], Any]] | None = None,
+        histograms: Callable[[], bytes] | None = None,
     ) -> None:
         """Binds the port.
 
@@ -42,7 +43,9 @@
             address: IPv4 address and TCP port.
             node: The process.
             pages: Further paths, with what returns their JSON data.
+            histograms: Returns further metrics in the text format.
         """
+        self._histograms = histograms
         self._pages = pages or {}
         self._address = address
         self._listener = eventlet.listen(address)
@@ -68,6 +71,8 @@
             from sapphirelift.operators import metrics  # noqa: PLC0415
 
             text = metrics.exposition(self._node)
+            if self._histograms is not None:
+                text += self._histograms()
             content_type = prometheus_client.CONTENT_TYPE_LATEST
             start_response("200 OK", [("Content-Type", content_type)])
             return [text]
--- a/sapphirelift/platform/client.py
+++ b/sapphirelift/platform/client.py
@@ -1,35 +1,39 @@
-"""Client of the platform's object API, over HTTP."""
+"""The product's records and members as objects of the platform's store.
+
+The product names objects by paths (``records/service/catalogue``). All that
+daemons watch is one kind in the store, so that one watch sees it; the rest is
+another kind, so that its writes wake no watch. A value carries the id of the
+write that put it there, by which a write without an answer is recognised.
+"""
 
 import collections
-import json
 import random
-import urllib.parse
 import uuid
+from collections.abc import Callable
 from collections.abc import Iterator
 from typing import Any
 from typing import NamedTuple
 
 import eventlet
-import urllib3
 
-from sapphirelift import clock
 from sapphirelift import credentials as credentials_module
 from sapphirelift import errors
 from sapphirelift.core import backoff
-from sapphirelift.core import rate_limit
 from sapphirelift.core import replica
+from sapphirelift.platform import store as store_module
 
-CONNECT_TIMEOUT_S = 1.0
-READ_TIMEOUT_S = 3.0
-# A watch that waits is answered within its wait; this much later its
-# connection is taken to be dead.
-WATCH_MARGIN_S = 1.0
-# 840 watching daemons, each with up to two calls a second, stay within the
-# 2,000 reads a second that the platform takes.
-CALLS_PER_S = 2.0
-BURST_CALLS = 10
+CALLS_PER_S = store_module.CALLS_PER_S
+BURST_CALLS = store_module.BURST_CALLS
 READ_BACKS = 3
 
+WATCHED_KIND = "sapphirelift-records"
+UNWATCHED_KIND = "sapphirelift-state"
+_WATCHED_PREFIXES = ("records/", "members/")
+# Paths hold no colon; the store's names need not allow slashes.
+_SEPARATOR = ":"
+# Set before a conditional deletion; no change for those who watch.
+_DELETION_MARK = "is_being_deleted"
+
 
 class Listing(NamedTuple):
     """Objects at a revision of the store.
@@ -44,11 +48,10 @@
 
 
 class ObjectClient:
-    """Reads, conditional updates and watches.
+    """Reads, conditional updates and watches of objects named by paths.
 
     Attributes:
-        calls: Number of calls by kind, a waiting watch counted as one.
-        failures: Number of calls without a usable answer, by kind.
+        store: The store's client.
     """
 
     def __init__(
@@ -60,29 +63,23 @@
         calls_per_s: float = CALLS_PER_S,
         credentials: credentials_module.PlatformCredentials | None = None,
     ) -> None:
-        self._base_url = base_url.rstrip("/")
         self._rng = rng or random.Random()
-        self._bucket = rate_limit.TokenBucket(
-            rate_per_s=calls_per_s, burst=BURST_CALLS
+        self.store = store_module.Store(
+            base_url,
+            name=name,
+            calls_per_s=calls_per_s,
+            credentials=credentials,
         )
-        self._credentials = (
-            credentials or credentials_module.PlatformCredentials()
-        )
-        tls: dict[str, Any] = {}
-        if self._base_url.lower().startswith("https://"):
-            tls["ssl_context"] = credentials_module.platform_context(
-                self._credentials
-            )
-        self._pool = urllib3.PoolManager(
-            retries=False,
-            timeout=urllib3.Timeout(
-                connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S
-            ),
-            headers={"User-Agent": f"sapphirelift/{name}"},
-            **tls,
-        )
-        self.calls: collections.Counter[str] = collections.Counter()
-        self.failures: collections.Counter[str] = collections.Counter()
+
+    @property
+    def calls(self) -> collections.Counter[str]:
+        """Number of calls by kind, a waiting watch counted as one."""
+        return self.store.calls
+
+    @property
+    def failures(self) -> collections.Counter[str]:
+        """Number of calls without a usable answer, by kind."""
+        return self.store.failures
 
     def get(self, key: str) -> replica.StoredObject | None:
         """Returns an object, or None if there is none.
@@ -90,10 +87,8 @@
         Raises:
             PlatformUnavailableError: No usable answer.
         """
-        status, answer = self._call("get", "GET", self._object_path(key))
-        if status == 404:
-            return None
-        return _stored(answer)
+        found = self.store.get(*_place(key))
+        return _stored(found) if found is not None else None
 
     def list_objects(self, *prefixes: str) -> Listing:
         """Lists all objects under any of the prefixes.
@@ -101,13 +96,23 @@
         Raises:
             PlatformUnavailableError: No usable answer.
         """
-        query = urllib.parse.urlencode([("prefix", p) for p in prefixes])
-        _, answer = self._call("list", "GET", f"/v1/objects?{query}")
-        return _listing(answer)
+        revisions: list[int] = []
+        objects: list[replica.StoredObject] = []
+        for kind in _kinds(prefixes):
+            listing = self.store.list_kind(kind)
+            revisions.append(listing.revision)
+            objects.extend(_stored(item) for item in listing.objects)
+        found = [item for item in objects if item.key.startswith(prefixes)]
+        return Listing(min(revisions), found, complete=True)
 
     def watch(self, *prefixes: str, since: int, wait_ms: int) -> Listing:
         """Waits for changes after ``since``.
 
+        Args:
+            prefixes: Prefixes of what is watched, such as ``records/``.
+            since: Revision after which changes are wanted.
+            wait_ms: How long to wait for a change.
+
         Returns:
             The changes, empty if there were none within ``wait_ms``; or the
             full list if the platform does not remember that far back.
@@ -116,20 +121,20 @@
             PlatformUnavailableError: No usable answer; the connection is
                 closed and the next watch uses a new one.
         """
-        query = urllib.parse.urlencode(
-            [
-                *(("prefix", p) for p in prefixes),
-                ("since", since),
-                ("wait_ms", wait_ms),
-            ]
-        )
-        _, answer = self._call(
-            "watch",
-            "GET",
-            f"/v1/objects?{query}",
-            read_timeout_s=max(wait_ms / 1000 + WATCH_MARGIN_S, READ_TIMEOUT_S),
-        )
-        return _listing(answer)
+        found = self.store.watch(WATCHED_KIND, since=since, wait_ms=wait_ms)
+        if found is None:
+            return self.list_objects(*prefixes)
+        newest: dict[str, replica.StoredObject] = {}
+        for change in found.changes:
+            item = _stored(change.object)
+            if change.is_deleted:
+                # The object shows its last write, which is older.
+                item = replica.StoredObject(item.key, found.revision, None)
+            elif _is_marked(change.object):
+                continue
+            if item.key.startswith(prefixes):
+                newest[item.key] = item
+        return Listing(found.revision, list(newest.values()), complete=False)
 
     def put(
         self,
@@ -151,155 +156,155 @@
             WriteUnknownError: The answer was lost and the object does not
                 show whether the write took effect.
         """
+        return self._write(key, {"value": value}, expected_revision)
+
+    def _write(
+        self, key: str, body: dict[str, Any], expected_revision: int | None
+    ) -> int:
         write_id = uuid.uuid4().hex
-        body = {"value": value, "write_id": write_id}
-        if expected_revision is not None:
-            body["expected_revision"] = expected_revision
-        path = self._object_path(key)
         try:
-            status, answer = self._call("put", "PUT", path, body=body)
+            return self._put(
+                key, body | {"write_id": write_id}, expected_revision
+            )
+        except errors.ConflictError as error:
+            raise errors.ConflictError(key, error.current_revision) from error
         except errors.PlatformUnavailableError:
-            return self._read_back(key, path, write_id)
-        if status == 409 and answer.get("write_id") != write_id:
-            raise errors.ConflictError(key, answer["revision"])
-        return answer["revision"]
+            return self._read_back(key, write_id)
+
+    def _put(
+        self, key: str, body: dict[str, Any], expected_revision: int | None
+    ) -> int:
+        kind, name = _place(key)
+        match expected_revision:
+            case 0:
+                return self.store.create(kind, name, body).revision
+            case None:
+                return self._put_any(kind, name, body)
+            case _:
+                return self.store.replace(
+                    kind, name, body, revision=expected_revision
+                ).revision
+
+    def _put_any(self, kind: str, name: str, body: dict[str, Any]) -> int:
+        try:
+            return self.store.replace(kind, name, body).revision
+        except errors.ConflictError:
+            return self.store.create(kind, name, body).revision
 
     def delete(self, key: str, *, expected_revision: int | None = None) -> None:
         """Deletes an object.
 
+        A conditional deletion marks the object first, so that a deletion
+        without an answer is told from that of another writer.
+
         Raises:
             ConflictError: The object has another revision.
             WriteUnknownError: The answer was lost and it cannot be
                 established that this call deleted the object.
         """
-        write_id = uuid.uuid4().hex
-        options: dict[str, Any] = {"write_id": write_id}
-        if expected_revision is not None:
-            options["expected_revision"] = expected_revision
-        path = self._object_path(key)
-        query = urllib.parse.urlencode(options)
+        if expected_revision is None:
+            self._delete_any(key)
+            return
+        held = self.get(key)
+        if held is None or held.revision != expected_revision:
+            raise errors.ConflictError(key, held.revision if held else 0)
+        marked = self._write(
+            key,
+            {"value": held.value, _DELETION_MARK: True},
+            expected_revision,
+        )
         try:
-            status, answer = self._call("delete", "DELETE", f"{path}?{query}")
+            self.store.delete(*_place(key), revision=marked)
+        except errors.ConflictError as error:
+            raise errors.ConflictError(key, error.current_revision) from error
         except errors.PlatformUnavailableError:
-            self._read_back_delete(key, write_id, expected_revision)
-            return
-        if status == 409 and answer.get("write_id") != write_id:
-            raise errors.ConflictError(key, answer["revision"])
+            self._read_back_delete(key, marked)
 
-    def _read_back(self, key: str, path: str, write_id: str) -> int:
+    def _delete_any(self, key: str) -> None:
+        kind, name = _place(key)
+        try:
+            self.store.delete(kind, name)
+        except errors.PlatformUnavailableError:
+            for found in self._retried(
+                lambda: self.store.get(kind, name, call="read_back")
+            ):
+                if found is None:
+                    return
+                break
+            raise errors.WriteUnknownError(key) from None
+
+    def _read_back(self, key: str, write_id: str) -> int:
         """Finds out whether a write without an answer took effect.
 
         An object with another write id proves nothing: the write may have
         taken effect before the other one, or may still do so.
         """
-        for answer in self._retried_reads(path):
-            if answer.get("write_id") == write_id:
-                return answer["revision"]
+        kind, name = _place(key)
+        for found in self._retried(
+            lambda: self.store.get(kind, name, call="read_back")
+        ):
+            if found is not None and _write_id(found) == write_id:
+                return found.revision
             break
         raise errors.WriteUnknownError(key)
 
-    def _read_back_delete(
-        self, key: str, write_id: str, expected_revision: int | None
-    ) -> None:
-        """Finds out whether a deletion without an answer took effect.
-
-        The change history tells who deleted the object. An unconditional
-        deletion needs only that there is no object now.
-        """
-        if expected_revision is None:
-            for answer in self._retried_reads(self._object_path(key)):
-                if not answer:
-                    return
-                break
-            raise errors.WriteUnknownError(key)
-        query = urllib.parse.urlencode(
-            {"prefix": key, "since": expected_revision, "wait_ms": 0}
-        )
-        for answer in self._retried_reads(f"/v1/objects?{query}"):
-            for item in answer["objects"]:
-                if item["key"] == key and item.get("write_id") == write_id:
+    def _read_back_delete(self, key: str, marked: int) -> None:
+        """Finds out whether the object that was marked has been deleted."""
+        kind, name = _place(key)
+        for changes in self._retried(
+            lambda: self.store.watch(kind, since=marked, wait_ms=0)
+        ):
+            for change in changes.changes if changes is not None else ():
+                if change.object.name == name and change.is_deleted:
                     return
             break
         raise errors.WriteUnknownError(key)
 
-    def _retried_reads(self, path: str) -> Iterator[dict[str, Any]]:
-        """Yields the first answer of a few reads; empty for no object."""
+    def _retried(self, read: Callable[[], Any]) -> Iterator[Any]:
+        """Yields the first answer of a few reads."""
         delays = backoff.Backoff(self._rng, min_s=0.1, max_s=1.0)
         for _ in range(READ_BACKS):
             try:
-                status, answer = self._call("read_back", "GET", path)
+                answer = read()
             except errors.PlatformUnavailableError:
                 eventlet.sleep(delays.next_s())
             else:
-                yield answer if status == 200 else {}
+                yield answer
 
-    def _object_path(self, key: str) -> str:
-        return f"/v1/objects/{urllib.parse.quote(key)}"
 
-    def _call(
-        self,
-        kind: str,
-        method: str,
-        path: str,
-        *,
-        body: dict[str, Any] | None = None,
-        read_timeout_s: float = READ_TIMEOUT_S,
-    ) -> tuple[int, dict[str, Any]]:
-        delay_ms = self._bucket.reserve_ms(now_ms=clock.now_ms())
-        if delay_ms:
-            eventlet.sleep(delay_ms / 1000)
-        self.calls[kind] += 1
-        # The read timeout of a socket starts again with each byte; the other
-        # bounds the whole call.
-        bound = eventlet.Timeout(CONNECT_TIMEOUT_S + read_timeout_s + 0.5)
-        try:
-            response = self._pool.request(
-                method,
-                self._base_url + path,
-                json=body,
-                headers=self._headers(),
-                # A redirect could carry the token to another host.
-                redirect=False,
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_S, read=read_timeout_s
-                ),
-            )
-            answer = json.loads(response.data) if response.data else {}
-        except (urllib3.exceptions.HTTPError, ValueError, OSError) as error:
-            raise self._failure(kind, type(error).__name__) from error
-        except eventlet.Timeout as error:
-            if error is not bound:
-                raise
-            raise self._failure(kind, "no answer in time") from error
-        finally:
-            bound.cancel()
-        if response.status not in (200, 404, 409):
-            raise self._failure(kind, f"status {response.status}")
-        return response.status, answer
-
-    def _headers(self) -> dict[str, str]:
-        headers = dict(self._pool.headers)
-        if self._credentials.token_file:
-            token = credentials_module.read_token(self._credentials)
-            headers["Authorization"] = f"Bearer {token}"
-        return headers
-
-    def _failure(
-        self, kind: str, reason: str
-    ) -> errors.PlatformUnavailableError:
-        self.failures[kind] += 1
-        return errors.PlatformUnavailableError(f"platform: {reason}")
-
-
-def _stored(answer: dict[str, Any]) -> replica.StoredObject:
-    return replica.StoredObject(
-        answer["key"], answer["revision"], answer["value"]
-    )
-
-
-def _listing(answer: dict[str, Any]) -> Listing:
-    return Listing(
-        answer["revision"],
-        [_stored(item) for item in answer["objects"]],
-        answer["complete"],
-    )
+def _place(key: str) -> tuple[str, str]:
+    """Returns kind and name of the object at a path.
+
+    >>> _place("records/service/catalogue")
+    ('sapphirelift-records', 'records:service:catalogue')
+    """
+    is_watched = key.startswith(_WATCHED_PREFIXES)
+    kind = WATCHED_KIND if is_watched else UNWATCHED_KIND
+    return kind, key.replace("/", _SEPARATOR)
+
+
+def _kinds(prefixes: tuple[str, ...]) -> list[str]:
+    """Returns the kinds that hold objects under some prefixes.
+
+    >>> _kinds(("",)), _kinds(("records/service/",))
+    (['sapphirelift-records', 'sapphirelift-state'], ['sapphirelift-records'])
+    """
+    kinds = {_place(prefix)[0] for prefix in prefixes}
+    if any(w.startswith(p) for w in _WATCHED_PREFIXES for p in prefixes):
+        kinds.add(WATCHED_KIND)
+    return sorted(kinds)
+
+
+def _stored(item: store_module.Object) -> replica.StoredObject:
+    value = item.value.get("value") if isinstance(item.value, dict) else None
+    key = item.name.replace(_SEPARATOR, "/")
+    return replica.StoredObject(key, item.revision, value)
+
+
+def _is_marked(item: store_module.Object) -> bool:
+    return isinstance(item.value, dict) and _DELETION_MARK in item.value
+
+
+def _write_id(item: store_module.Object) -> str:
+    held = item.value if isinstance(item.value, dict) else {}
+    return str(held.get("write_id", ""))
--- a/sapphirelift/platform/store.py
+++ b/sapphirelift/platform/store.py
@@ -132,14 +132,19 @@
         self.failures: collections.Counter[str] = collections.Counter()
         self.skipped = 0
 
-    def get(self, kind: str, name: str) -> Object | None:
+    def get(self, kind: str, name: str, *, call: str = "get") -> Object | None:
         """Returns an object, or None if there is none.
 
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            call: Kind of call that it is counted as.
+
         Raises:
             PlatformUnavailableError: No usable answer.
         """
-        status, data = self._call("get", "GET", _path(kind, name))
-        return None if status == 404 else self._object("get", data)
+        status, data = self._call(call, "GET", _path(kind, name))
+        return None if status == 404 else self._object(call, data)
 
     def list_kind(self, kind: str, *, allow_stale: bool = False) -> Listing:
         """Returns all objects of a kind.
@@ -217,7 +222,7 @@
                 been done or may be done later.
         """
         body = {"meta": {"Name": name}, "spec": value}
-        return self._write("create", "POST", kind, name, body, path=_path(kind))
+        return self._write("put", "POST", kind, name, body, path=_path(kind))
 
     def replace(
         self, kind: str, name: str, value: Any, *, revision: int | None = None
@@ -238,7 +243,7 @@
         if revision is not None:
             meta["Revision"] = revision
         body = {"meta": meta, "spec": value}
-        return self._write("replace", "PUT", kind, name, body)
+        return self._write("put", "PUT", kind, name, body)
 
     def delete(
         self, kind: str, name: str, *, revision: int | None = None
--- a/sapphirelift/standins/flow_ends.py
+++ b/sapphirelift/standins/flow_ends.py
@@ -5,6 +5,7 @@
 sockets and no clock, so that tests run them in memory or over datagrams.
 """
 
+import collections
 import dataclasses
 import random
 import struct
@@ -82,7 +83,8 @@
     Attributes:
         opened: Flows that have opened here.
         astray: Packets of flows that it does not hold, by flow.
-        requests: Requests run, by flow.
+        requests: Requests taken, by flow.
+        sheds: Requests refused, because slots and queue were full.
     """
 
     def __init__(
@@ -91,6 +93,8 @@
         send: Send,
         *,
         work_ms: int = 20,
+        slots: int = 1000,
+        queue: int = 8,
         call_later: Callable[[int, Callable[[], None]], None],
     ) -> None:
         self.is_alive = True
@@ -100,7 +104,12 @@
         self.accepts = True
         self._rng = rng
         self._send = send
+        self.sheds = 0
         self._work_ms = work_ms
+        self._slots = slots
+        self._queue = queue
+        self._running = 0
+        self._queued: collections.deque[packet.FlowKey] = collections.deque()
         self._call_later = call_later
         self._held: dict[packet.FlowKey, _HeldFlow] = {}
 
@@ -150,12 +159,27 @@
             held.expected += received.payload_bytes
             count = self.requests.get(received.flow, 0)
             self.requests[received.flow] = count + 1
-            flow = received.flow
-            self._call_later(self._work_ms, lambda: self._respond(flow, 0))
+            self._begin(received.flow)
         elif received.payload_bytes:
             self._answer(received.flow, held, ACK)
         held.sequence = max(held.sequence, received.acknowledged)
 
+    def _begin(self, flow: packet.FlowKey) -> None:
+        if self._running < self._slots:
+            self._running += 1
+            self._call_later(self._work_ms, lambda: self._finish(flow))
+        elif len(self._queued) < self._queue:
+            self._queued.append(flow)
+        else:
+            self.sheds += 1
+            self._respond(flow, 0)
+
+    def _finish(self, flow: packet.FlowKey) -> None:
+        self._running -= 1
+        if self._queued:
+            self._begin(self._queued.popleft())
+        self._respond(flow, 0)
+
     def _respond(self, flow: packet.FlowKey, attempt: int) -> None:
         held = self._held.get(flow)
         if held is None or not self.is_alive:
@@ -197,6 +221,7 @@
         state: ``opening``, ``open``, ``reset``, ``failed`` or ``closed``.
         answers: Answers received.
         waiting: Whether a request has not been answered.
+        opens_with_request: Whether a request follows the opening at once.
     """
 
     def __init__(
@@ -211,6 +236,7 @@
         self.state = "opening"
         self.answers = 0
         self.waiting = False
+        self.opens_with_request = False
         self._send = send
         self._call_later = call_later
         self._sequence = rng.getrandbits(31)
@@ -242,6 +268,8 @@
             self._sequence += 1
             self._expected = (received.sequence + 1) & 0xFFFFFFFF
             self._send_flags(ACK)
+            if self.opens_with_request:
+                self.request()
         elif received.payload_bytes and self.state == "open":
             if received.sequence == self._expected:
                 self._expected += received.payload_bytes
--- a/sapphirelift/standins/packet_network.py
+++ b/sapphirelift/standins/packet_network.py
@@ -93,6 +93,7 @@
             self._network.rng,
             self._on_outbound,
             work_ms=self._work_ms,
+            slots=self._slots if self._network.has_slots else 1000,
             call_later=self._network.call_later,
         )
 
@@ -224,12 +225,17 @@
         hops: Messages between daemons that carry a packet.
         resets: Flows that the system has reset.
         loss: Share of the datagrams that are lost.
+        has_slots: Whether backend servers run only as many requests as they
+            have slots, and shed what their queue does not take.
     """
 
-    def __init__(self, seed: int, *, loss: float = 0.0) -> None:
+    def __init__(
+        self, seed: int, *, loss: float = 0.0, has_slots: bool = False
+    ) -> None:
         self.rng = random.Random(seed)
         self.now_ms = 1_000_000
         self.loss = loss
+        self.has_slots = has_slots
         self.balancers: dict[str, BalancerHost] = {}
         self.agents: dict[str, AgentHost] = {}
         self.rotation: list[str] = []
--- a/sapphirelift/standins/platform.py
+++ b/sapphirelift/standins/platform.py
@@ -1,5 +1,7 @@
-"""Stand-in for the platform's object API.
+"""Stand-in for the platform's object store.
 
+It speaks the published protocol: objects by kind and name with ``meta``,
+``spec`` and ``status``, lists, watches and conditional writes.
 ``python -m sapphirelift.standins.platform PORT`` serves it. Faults are set
 by ``POST /faults`` with a JSON object, see ``Faults``; ``POST /restart``
 empties the store and starts it again at its lowest revision. With
@@ -16,6 +18,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Any
+from typing import NamedTuple
 
 import eventlet
 import eventlet.event
@@ -23,10 +26,11 @@
 import msgspec
 from eventlet.green import ssl
 
-Prefixes = tuple[str, ...]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 HISTORY_CHANGES = 10_000
 _PREFIX = "/v1/objects/"
+# Items of one page of a list.
+PAGE_ITEMS = 500
 
 
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
@@ -56,94 +60,106 @@
     history_changes: int = HISTORY_CHANGES
 
 
+class _Change(NamedTuple):
+    """A change of the object of a kind."""
+
+    revision: int
+    kind: str
+    name: str
+    is_deleted: bool
+    item: dict[str, Any]
+
+
 class ObjectStore:
     """Objects with revisions, conditional updates and change history."""
 
     def __init__(self) -> None:
-        self.objects: dict[str, dict[str, Any]] = {}
+        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self.revision = 1
         self.forgotten = 0
-        self.history: collections.deque[dict[str, Any]] = collections.deque()
+        self.history: collections.deque[_Change] = collections.deque()
         self._changed: eventlet.event.Event = eventlet.event.Event()
 
-    def write(
-        self,
-        key: str,
-        value: dict[str, Any] | None,
-        *,
-        write_id: str,
-        expected_revision: int | None,
-    ) -> tuple[bool, dict[str, Any]]:
-        """Writes or deletes; returns success and the object as it is now."""
-        held = self.objects.get(key)
-        held_revision = held["revision"] if held is not None else 0
-        if expected_revision not in (None, held_revision):
-            return False, held or {"key": key, "revision": 0, "write_id": ""}
+    def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        """Creates or replaces an object; one that is equal stays as it is."""
+        held = self.objects.get((kind, name))
+        if held is not None and held["spec"] == spec:
+            return held
         item = {
-            "key": key,
-            "revision": self.revision + 1,
-            "value": value,
-            "write_id": write_id,
+            "meta": {
+                "Name": name,
+                "Revision": self.revision + 1,
+                "Created": held["meta"]["Created"] if held else self.revision,
+                "Finalizers": [],
+                "Deleting": False,
+            },
+            "spec": spec,
+            "status": held["status"] if held is not None else None,
         }
-        self.apply(item)
-        changed, self._changed = self._changed, eventlet.event.Event()
-        changed.send(None)
-        return True, item
+        self._note(_Change(self.revision + 1, kind, name, False, item))
+        return item
+
+    def delete(self, kind: str, name: str) -> dict[str, Any]:
+        """Removes an object that is there."""
+        item = self.objects[(kind, name)]
+        self._note(_Change(self.revision + 1, kind, name, True, item))
+        return item
 
     def trim(self, count: int) -> None:
         """Forgets all but the last changes."""
         while len(self.history) > count:
-            self.forgotten = self.history.popleft()["revision"]
+            self.forgotten = self.history.popleft().revision
 
-    def listing(self, prefixes: Prefixes) -> dict[str, Any]:
-        """Returns all objects under the prefixes."""
-        found = [o for k, o in self.objects.items() if k.startswith(prefixes)]
+    def listing(self, kind: str, after: str) -> dict[str, Any]:
+        """Returns a page of the objects of a kind."""
+        names = sorted(n for k, n in self.objects if k == kind and n > after)
+        page = names[:PAGE_ITEMS]
         return {
-            "revision": self.revision,
-            "objects": found,
-            "complete": True,
+            "items": [self.objects[(kind, name)] for name in page],
+            "HasMore": len(names) > len(page),
+            "CurrentRev": self.revision,
         }
 
-    def changes(self, prefixes: Prefixes, since: int) -> dict[str, Any] | None:
+    def changes(self, kind: str, since: int) -> dict[str, Any] | None:
         """Returns the changes after a revision, None if too far back."""
         if since < self.forgotten or since > self.revision:
             return None
-        found: dict[str, dict[str, Any]] = {}
-        for item in reversed(self.history):
-            if item["revision"] <= since:
-                break
-            if item["key"].startswith(prefixes):
-                found.setdefault(item["key"], item)
-        return {
-            "revision": self.revision,
-            "objects": list(found.values()),
-            "complete": False,
-        }
-
-    def wait(self, prefixes: Prefixes, since: int, timeout_s: float) -> None:
-        """Waits until something under the prefixes changes after ``since``."""
+        events = [
+            {"Deleted": change.is_deleted, "Object": change.item}
+            for change in self.history
+            if change.revision > since and change.kind == kind
+        ]
+        return {"events": events, "CurrentRev": self.revision}
+
+    def wait(self, kind: str, since: int, timeout_s: float) -> None:
+        """Waits until something of the kind changes after ``since``."""
         with eventlet.Timeout(timeout_s, False):
             while True:
-                changes = self.changes(prefixes, since)
-                if changes is None or changes["objects"]:
+                changes = self.changes(kind, since)
+                if changes is None or changes["events"]:
                     return
                 self._changed.wait()
 
     def older(self, changes: int) -> "ObjectStore":
         """Returns the store as it was that many changes ago."""
         store = ObjectStore()
-        for item in list(self.history)[: len(self.history) - changes]:
-            store.apply(item)
+        for change in list(self.history)[: len(self.history) - changes]:
+            store.apply(change)
         return store
 
-    def apply(self, item: dict[str, Any]) -> None:
+    def apply(self, change: _Change) -> None:
         """Takes over one change."""
-        self.revision = item["revision"]
-        if item["value"] is None:
-            self.objects.pop(item["key"], None)
+        self.revision = change.revision
+        if change.is_deleted:
+            self.objects.pop((change.kind, change.name), None)
         else:
-            self.objects[item["key"]] = item
-        self.history.append(item)
+            self.objects[(change.kind, change.name)] = change.item
+        self.history.append(change)
+
+    def _note(self, change: _Change) -> None:
+        self.apply(change)
+        changed, self._changed = self._changed, eventlet.event.Event()
+        changed.send(None)
 
 
 class PlatformApp:
@@ -189,52 +205,59 @@
             eventlet.sleep(self.faults.delay_ms / 1000)
         if self.faults.down:
             return "503 Service Unavailable", {}
-        if path == "/v1/objects":
-            return self._list(environ)
-        key = path.removeprefix(_PREFIX)
+        kind, _, name = path.removeprefix(_PREFIX).partition("/")
+        kind, name = urllib.parse.unquote(kind), urllib.parse.unquote(name)
         match method:
+            case "GET" if not name:
+                return self._list(kind, query, environ)
             case "GET":
-                held = self.store.objects.get(key)
+                held = self.store.objects.get((kind, name))
                 return ("200 OK", held) if held else ("404 Not Found", {})
+            case "POST":
+                return self._create(kind, json.loads(body))
             case "PUT":
-                return self._put(key, json.loads(body))
+                return self._replace(kind, name, json.loads(body))
             case "DELETE":
-                expected = query.get("expected_revision")
-                return self._write(
-                    key,
-                    None,
-                    write_id=query.get("write_id", ""),
-                    expected=int(expected) if expected else None,
-                )
+                return self._delete(kind, name, query.get("Revision"))
         return "400 Bad Request", {}
 
-    def _list(self, environ: dict[str, Any]) -> tuple[str, Any]:
-        query = urllib.parse.parse_qs(
-            environ.get("QUERY_STRING", ""), keep_blank_values=True
-        )
-        prefixes = tuple(query.get("prefix", [""]))
-        if "since" not in query:
-            return "200 OK", self._read(prefixes, None)
-        since = int(query["since"][0])
-        wait_ms = int(query.get("wait_ms", ["0"])[0])
+    def _list(
+        self, kind: str, query: dict[str, str], environ: dict[str, Any]
+    ) -> tuple[str, Any]:
+        if "Watch" not in query:
+            store = self._read_from()
+            return "200 OK", self._claim(
+                store.listing(kind, query.get("after", ""))
+            )
+        since = int(query["Watch"])
+        wait_ms = int(query.get("WaitMs", "0"))
         if wait_ms and self.faults.silent_watches > 0:
             self.faults.silent_watches -= 1
             self._silent.add(environ["REMOTE_PORT"])
             self._stay_silent()
-        self.store.wait(prefixes, since, wait_ms / 1000)
+        self.store.wait(kind, since, wait_ms / 1000)
         if self.faults.down:
             return "503 Service Unavailable", {}
-        return "200 OK", self._read(prefixes, since)
-
-    def _read(self, prefixes: Prefixes, since: int | None) -> dict[str, Any]:
-        store = self.store
+        store = self._read_from()
+        if since > store.revision and since <= self.store.revision:
+            # A part that lags has nothing to tell yet.
+            return "200 OK", self._claim(
+                {"events": [], "CurrentRev": store.revision}
+            )
+        changes = store.changes(kind, since)
+        if changes is None:
+            return "410 Gone", {}
+        return "200 OK", self._claim(changes)
+
+    def _read_from(self) -> ObjectStore:
         if self.faults.stale_reads > 0:
             self.faults.stale_reads -= 1
-            store = store.older(self.faults.stale_changes)
-        answer = None if since is None else store.changes(prefixes, since)
-        answer = answer or store.listing(prefixes)
+            return self.store.older(self.faults.stale_changes)
+        return self.store
+
+    def _claim(self, answer: dict[str, Any]) -> dict[str, Any]:
         if self.faults.stale_claims:
-            answer["revision"] = self.store.revision
+            answer["CurrentRev"] = self.store.revision
         return answer
 
     def _is_silent(self, environ: dict[str, Any]) -> bool:
@@ -247,27 +270,35 @@
         """Leaves the call without an answer for good."""
         eventlet.event.Event().wait()
 
-    def _put(self, key: str, body: dict[str, Any]) -> tuple[str, Any]:
-        return self._write(
-            key,
-            body["value"],
-            write_id=body["write_id"],
-            expected=body.get("expected_revision"),
-        )
-
-    def _write(
-        self,
-        key: str,
-        value: dict[str, Any] | None,
-        *,
-        write_id: str,
-        expected: int | None,
+    def _create(self, kind: str, body: dict[str, Any]) -> tuple[str, Any]:
+        name = body["meta"]["Name"]
+        held = self.store.objects.get((kind, name))
+        if held is not None:
+            return "409 Conflict", held
+        return self._written(self.store.put(kind, name, body.get("spec")))
+
+    def _replace(
+        self, kind: str, name: str, body: dict[str, Any]
+    ) -> tuple[str, Any]:
+        held = self.store.objects.get((kind, name))
+        if held is None:
+            return "404 Not Found", {}
+        expected = body.get("meta", {}).get("Revision")
+        if expected not in (None, held["meta"]["Revision"]):
+            return "409 Conflict", held
+        return self._written(self.store.put(kind, name, body.get("spec")))
+
+    def _delete(
+        self, kind: str, name: str, expected: str | None
     ) -> tuple[str, Any]:
-        done, item = self.store.write(
-            key, value, write_id=write_id, expected_revision=expected
-        )
-        if not done:
-            return "409 Conflict", item
+        held = self.store.objects.get((kind, name))
+        if held is None:
+            return "404 Not Found", {}
+        if expected is not None and int(expected) != held["meta"]["Revision"]:
+            return "409 Conflict", held
+        return self._written(self.store.delete(kind, name))
+
+    def _written(self, item: dict[str, Any]) -> tuple[str, Any]:
         self.store.trim(self.faults.history_changes)
         if self.faults.lose_write_answers > 0:
             self.faults.lose_write_answers -= 1
--- a/tests/test_l4_flows.py
+++ b/tests/test_l4_flows.py
@@ -448,3 +448,59 @@
         assert silent.agent.state(made.now_ms) == agents.UNAVAILABLE
         open_flows(made, 6)
         assert silent.backend.opened == set()
+
+
+class TestReconnectStorm:
+    """Pattern: all callers of a service come back within 100 ms.
+
+    Three servers of two slots and 35 ms a request bear 170 requests a
+    second. 150 callers return at once, and 60 fresh ones come each second.
+    """
+
+    def storm(
+        self,
+    ) -> tuple[
+        packet_network.Network,
+        list[flow_ends.CallerFlow],
+        list[flow_ends.CallerFlow],
+    ]:
+        """Plays the storm; returns those that return and the fresh ones."""
+        made = packet_network.Network(1, has_slots=True)
+        for _ in range(3):
+            made.add_agent(work_ms=35, slots=2)
+        for _ in range(4):
+            made.add_balancer()
+        made.run(500)
+        returning = []
+        for _ in range(150):
+            caller = made.open_flow()
+            caller.opens_with_request = True
+            returning.append(caller)
+            if len(returning) % 2:
+                made.run(1)
+        fresh = []
+        self.in_time = 0
+        for _ in range(60):
+            caller = made.open_flow()
+            caller.opens_with_request = True
+            fresh.append(caller)
+            made.call_later(120, lambda c=caller: self.note(c))
+            made.run(16)
+        made.run(3000)
+        return made, returning, fresh
+
+    def note(self, caller: flow_ends.CallerFlow) -> None:
+        """Counts a caller that has its answer within the objective."""
+        self.in_time += caller.answers
+
+    def test_nothing_is_shed_and_all_are_served(self) -> None:
+        """Guards against requests given to servers that must refuse them."""
+        made, returning, fresh = self.storm()
+        assert sum(h.backend.sheds for h in made.agents.values()) == 0
+        assert sum(f.answers for f in fresh) == 60
+        assert sum(f.answers for f in returning) >= 140
+
+    def test_fresh_callers_are_served_in_time(self) -> None:
+        """Guards against a backlog that makes everybody late."""
+        self.storm()
+        assert self.in_time >= 45
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -11,6 +11,7 @@
 from sapphirelift.core import backoff
 from sapphirelift.core import rate_limit
 from sapphirelift.platform import client
+from sapphirelift.platform import store
 from tests import processes
 
 KEY = "records/service/catalogue"
@@ -27,14 +28,14 @@
     processes.post_json(fleet.platform_port, "/faults", faults)
 
 
-class _Overtaken(client.ObjectClient):
+class _OvertakenStore(store.Store):
     """Loses each answer to a write; runs ``meanwhile`` before it reads back."""
 
     meanwhile: Any = None
 
-    def _call(self, kind: str, *args: Any, **options: Any) -> Any:
-        answer = super()._call(kind, *args, **options)
-        if kind in ("put", "delete"):
+    def _call(self, call: str, *args: Any, **options: Any) -> Any:
+        answer = super()._call(call, *args, **options)
+        if call in ("put", "delete"):
             if self.meanwhile is not None:
                 self.meanwhile()
             raise errors.PlatformUnavailableError("answer lost")
@@ -63,15 +64,17 @@
     ) -> None:
         """Guards against success or conflict claimed without proof."""
         other = connect(fleet)
-        platform = _Overtaken(fleet.platform_url, calls_per_s=100)
-        platform.meanwhile = lambda: other.put(KEY, {"a": 2})
+        platform = connect_again(fleet)
+        overtaken = _OvertakenStore(fleet.platform_url, calls_per_s=100)
+        platform.store = overtaken
+        overtaken.meanwhile = lambda: other.put(KEY, {"a": 2})
         with pytest.raises(errors.WriteUnknownError):
             platform.put(KEY, {"a": 1}, expected_revision=0)
         held = other.get(KEY)
         assert held is not None
         with pytest.raises(errors.WriteUnknownError):
             platform.delete(KEY, expected_revision=held.revision)
-        platform.meanwhile = lambda: other.delete(KEY)
+        overtaken.meanwhile = lambda: other.delete(KEY)
         with pytest.raises(errors.WriteUnknownError):
             platform.put(KEY, {"a": 3})
 
@@ -83,13 +86,15 @@
         revision = other.put(KEY, {"a": 1})
         platform = client.ObjectClient(fleet.platform_url, calls_per_s=100)
 
-        def fail(*args: Any, **options: Any) -> Any:
+        def fail(kind: str, *args: Any, **options: Any) -> Any:
+            if kind == "get":
+                return call(kind, *args, **options)
             other.delete(KEY)
-            platform._call = call  # type: ignore[method-assign]
+            platform.store._call = call  # type: ignore[method-assign]
             raise errors.PlatformUnavailableError("call lost")
 
-        call = platform._call
-        platform._call = fail  # type: ignore[method-assign]
+        call = platform.store._call
+        platform.store._call = fail  # type: ignore[method-assign]
         with pytest.raises(errors.WriteUnknownError):
             platform.delete(KEY, expected_revision=revision)
 
