--- a/sapphirelift/_directory.py
+++ b/sapphirelift/_directory.py
@@ -92,11 +92,16 @@
         """Starts to announce and to list."""
         tasks.spawn("directory", self._run)
 
-    def remove(self) -> None:
-        """Removes the entry; one that remains does no harm."""
+    def remove(self, *, timeout_s: float) -> None:
+        """Removes the entry; one that remains does little harm.
+
+        Args:
+            timeout_s: How long the process may wait for it.
+        """
         try:
-            self._store.delete(KIND, self._name)
-        except errors.SapphireliftError as error:
+            with eventlet.Timeout(timeout_s):
+                self._store.delete(KIND, self._name)
+        except (errors.SapphireliftError, eventlet.Timeout) as error:
             self._log.write("entry_not_removed", reason=str(error))
 
     def _run(self) -> None:
--- a/sapphirelift/_packet_agent.py
+++ b/sapphirelift/_packet_agent.py
@@ -86,7 +86,9 @@
         )
         self.log.flush()
         if has_left:
-            self._directory.remove()
+            self._directory.remove(
+                timeout_s=self.settings.stop_timeout_ms / 1000 / 3
+            )
         eventlet.sleep(LINGER_S)
         self.stopped()
 
--- /dev/null
+++ b/tests/test_l4_adapter.py
@@ -0,0 +1,241 @@
+"""What the platform's formats become, and what is refused."""
+
+import json
+
+import pytest
+
+from sapphirelift import deployment
+from sapphirelift import errors
+from sapphirelift.core.l4 import messages
+from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import routes
+from sapphirelift.platform import configuration
+from sapphirelift.platform import packets
+from sapphirelift.platform import reports
+from sapphirelift.standins import flow_ends
+
+# A published example: a SYN from 100.64.0.7:40001 to 198.18.0.1:443, and the
+# reset that answers it.
+SYN = bytes.fromhex(
+    "02 01 00 12 c6 41 9c bb 01 07 00 40 64 00 00 00 00 d5 c3 b2 a1"
+    "44 33 22 11 00 00 00 00 00 00"
+)
+RESET = bytes.fromhex(
+    "10 07 00 40 64 bb 01 41 9c 01 00 12 c6 00 00 00 00 00 00 00 00"
+    "00 00 00 00 00 00 00 00 00 00"
+)
+FLOW = packet.FlowKey(
+    packets.ip_number("100.64.0.7"), 40001, packets.ip_number("198.18.0.1"), 443
+)
+REPORT = {
+    "Service": "shop",
+    "Address": "10.1.0.9:80",
+    "Zone": "a",
+    "Version": "v1",
+    "MaxConcurrency": 4,
+    "State": "ready",
+    "WarmupRemainingMs": 1500,
+    "Sequence": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+class TestPackets:
+    """The header of packets."""
+
+    def test_published_example(self) -> None:
+        """Guards against a field at the wrong offset or byte order."""
+        decoded = packets.decode_from_caller(SYN)
+        assert decoded.flow == FLOW
+        assert decoded.is_syn
+        assert not (decoded.is_ack or decoded.is_fin or decoded.is_reset)
+        assert decoded.sequence == 0x11223344
+        assert decoded.payload_bytes == 0
+        assert decoded.raw is SYN
+        assert packets.encode_reset(FLOW, 0) == RESET
+
+    def test_directions_name_the_same_flow(self) -> None:
+        """Guards against replies that belong to another flow."""
+        reply = flow_ends.from_backend(FLOW, flow_ends.SYN | flow_ends.ACK)
+        assert packets.decode_from_backend(reply).flow == FLOW
+
+    def test_bounced_packet_is_the_callers_again(self) -> None:
+        """Guards against a packet handed on with the platform's mark."""
+        bounced = bytes([SYN[0] | flow_ends.BOUNCED]) + SYN[1:]
+        decoded = packets.decode_from_backend(bounced)
+        assert decoded.is_bounced
+        assert decoded.flow == FLOW
+        assert decoded.raw == SYN
+
+    @pytest.mark.parametrize(
+        "data",
+        [b"", SYN[:-1], SYN + b"x", SYN[:-2] + b"\xff\xff", bytes(2000)],
+    )
+    def test_malformed_packets_are_refused(self, data: bytes) -> None:
+        """Guards against a datagram that ends the process."""
+        with pytest.raises(errors.DatagramError):
+            packets.decode_from_caller(data)
+
+
+class TestReports:
+    """Reports of backend servers."""
+
+    def test_report(self) -> None:
+        """Guards against a field taken for another."""
+        report = reports.decode("i-1", json.dumps(REPORT).encode())
+        assert report.backend_id == "i-1"
+        assert (report.number, report.slots, report.cold_ms) == (4, 4, 1500)
+        assert not report.is_draining
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"State": "asleep"},
+            {"State": None},
+            {"MaxConcurrency": 0},
+            {"MaxConcurrency": "4"},
+            {"Sequence": 1.5},
+            {"Service": ""},
+            {"born": "yesterday"},
+        ],
+        ids=str,
+    )
+    def test_report_of_another_writer_names_nobody(
+        self, change: dict[str, object]
+    ) -> None:
+        """Guards against garbage taken for a backend server."""
+        with pytest.raises(errors.ReportError):
+            reports.decode("i-1", json.dumps(REPORT | change).encode())
+
+    def test_unreadable_bytes(self) -> None:
+        """Guards against a decoder's own error."""
+        for body in (b"", b"\xff\xfe", b"[]", b"{"):
+            with pytest.raises(errors.ReportError):
+                reports.decode("i-1", body)
+
+
+class TestConfiguration:
+    """The operators' configuration."""
+
+    def test_routes_and_services(self) -> None:
+        """Guards against a route that is lost or points elsewhere."""
+        value = {
+            "Version": 7,
+            "Routes": [
+                {
+                    "Name": "one",
+                    "Host": "198.18.0.1",
+                    "PathPrefix": "/8443/",
+                    "Type": "safe",
+                    "TrafficSplit": [
+                        {"Service": "shop", "Weight": 90},
+                        {"Service": "packing", "Weight": 10},
+                    ],
+                },
+                {
+                    "Name": "two",
+                    "Host": "198.18.0.2",
+                    "PathPrefix": "/443/",
+                    "Service": "shop",
+                },
+            ],
+            "Services": [
+                {"Name": "shop", "MaxConnections": 2000, "WarmupPerS": 8.0}
+            ],
+            "Limits": {"IdleTimeoutMs": 15000, "MaxBodyBytes": 1},
+        }
+        decoded = configuration.decode(value, 30)
+        assert (decoded.revision, decoded.version) == (30, 7)
+        one = decoded.routes[
+            routes.RouteKey(packets.ip_number("198.18.0.1"), 8443)
+        ]
+        assert one.services == ("shop", "packing")
+        assert decoded.services["shop"].cold_opens_per_s == 8.0
+        chosen = [
+            one.service_for(FLOW._replace(caller_port=port))
+            for port in range(1000)
+        ]
+        assert 50 < chosen.count("packing") < 160
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            None,
+            {},
+            {"Version": "7"},
+            {
+                "Version": 1,
+                "Routes": [{"Name": "a", "Host": "x", "PathPrefix": "/1/"}],
+            },
+            {
+                "Version": 1,
+                "Routes": [
+                    {"Name": "a", "Host": "1.2.3.4", "PathPrefix": "/1/"}
+                ],
+            },
+        ],
+        ids=str,
+    )
+    def test_unusable_one_is_refused(self, value: object) -> None:
+        """Guards against a configuration that is half in force."""
+        with pytest.raises(errors.ConfigurationError):
+            configuration.decode(value, 1)
+
+
+class TestMessages:
+    """Messages between daemons."""
+
+    def test_round_trip(self) -> None:
+        """Guards against a field that does not survive the wire."""
+        address = messages.Address("10.1.0.2", 7720)
+        message = messages.Open("shop", address, (address,), True, SYN)
+        assert messages.decode(messages.encode(message)) == message
+
+    @pytest.mark.parametrize("data", [b"", b"\xff", b"\x00", b"\x00\xc1", SYN])
+    def test_malformed_ones_are_refused(self, data: bytes) -> None:
+        """Guards against a datagram that ends the process."""
+        with pytest.raises(errors.DatagramError):
+            messages.decode(data)
+
+
+class TestSettings:
+    """Settings of the daemon."""
+
+    SETTINGS = {
+        "name": "front-1",
+        "role": "balancer",
+        "ip": "10.1.0.1",
+        "data_centre": "a",
+        "region": "r",
+        "packets": "10.1.0.1:80",
+        "readiness": "10.1.0.1:81",
+        "internal_ports": [7720, 7735],
+        "platform": "10.200.1.7:8169",
+        "report_interval_ms": 1200,
+        "contact_ms": 4000,
+        "stop_timeout_ms": 6000,
+    }
+
+    def test_valid_settings(self) -> None:
+        """Guards against ports that another daemon does not expect."""
+        settings = deployment.parse(json.dumps(self.SETTINGS).encode())
+        assert settings.daemon_address == ("10.1.0.1", 7720)
+        assert settings.admin_address == ("10.1.0.1", 7735)
+
+    @pytest.mark.parametrize(
+        ("change", "field"),
+        [
+            ({"packets": "10.1.0.1"}, "packets"),
+            ({"internal_ports": [1, 1]}, "internal_ports"),
+            ({"contact_ms": 0}, "contact_ms"),
+            ({"role": "agent"}, "service"),
+            ({"colour": "red"}, "colour"),
+        ],
+        ids=str,
+    )
+    def test_problem_names_the_field(
+        self, change: dict[str, object], field: str
+    ) -> None:
+        """Guards against settings that fail later, or without a remedy."""
+        with pytest.raises(errors.SettingsError, match=field):
+            deployment.parse(json.dumps(self.SETTINGS | change).encode())
--- /dev/null
+++ b/tests/test_packet_daemon.py
@@ -0,0 +1,392 @@
+"""The packet daemon as real processes on loopback addresses.
+
+Each instance has a loopback address of its own, so that ports are the same
+everywhere, as on the platform. A caller and a backend server of the
+stand-ins speak to the processes over datagrams.
+"""
+
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import urllib.request
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from sapphirelift.core.l4 import packet
+from sapphirelift.platform import packets
+from sapphirelift.platform import store
+from sapphirelift.standins import flow_ends
+from tests import processes
+
+CALLER_IP = "127.60.0.7"
+ROUTE_IP = "198.18.0.1"
+BALANCER_IPS = ("127.60.1.1", "127.60.1.2")
+AGENT_IPS = ("127.60.2.1", "127.60.2.2")
+CONFIGURATION = {
+    "Version": 3,
+    "Routes": [
+        {
+            "Name": "main",
+            "Host": ROUTE_IP,
+            "PathPrefix": "/443/",
+            "Service": "shop",
+        }
+    ],
+    "Services": [{"Name": "shop", "MaxConnections": 100, "WarmupPerS": 0.0}],
+    "Limits": {"IdleTimeoutMs": 15000},
+}
+
+
+class Ports:
+    """Ports of one test, free on all loopback addresses."""
+
+    def __init__(self) -> None:
+        found = [processes.free_port() for _ in range(7)]
+        self.packets, self.readiness, self.reports, self.outbound = found[:4]
+        self.app = found[4]
+        self.internal = sorted(found[5:])
+
+
+class Backend:
+    """A backend server with its instance's sockets."""
+
+    def __init__(self, ip: str, ports: Ports) -> None:
+        self.ip = ip
+        self._ports = ports
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((ip, ports.app))
+        self._socket.settimeout(0.1)
+        self._reports = 0
+        self._born_ms = time.time_ns() // 1_000_000
+        self._is_running = True
+        self._lock = threading.RLock()
+        self.server = flow_ends.BackendServer(
+            random.Random(1),
+            lambda data: self._socket.sendto(data, (ip, ports.outbound)),
+            call_later=self._call_later,
+        )
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def _call_later(self, delay_ms: int, call: Callable[[], None]) -> None:
+        def locked() -> None:
+            with self._lock:
+                if self._is_running:
+                    call()
+
+        timer = threading.Timer(delay_ms / 1000, locked)
+        timer.daemon = True
+        timer.start()
+
+    def _run(self) -> None:
+        while self._is_running:
+            try:
+                data = self._socket.recv(2048)
+            except TimeoutError:
+                continue
+            with self._lock:
+                self.server.receive(data)
+
+    def report(self, *, state: str = "ready") -> None:
+        """Sends a report to the agent.
+
+        Raises:
+            OSError: The agent does not answer.
+        """
+        self._reports += 1
+        body = {
+            "Service": "shop",
+            "Address": f"{self.ip}:{self._ports.app}",
+            "Zone": "a",
+            "Version": "v1",
+            "MaxConcurrency": 4,
+            "State": state,
+            "WarmupRemainingMs": 0,
+            "Sequence": self._reports,
+            "born": self._born_ms,
+        }
+        request = urllib.request.Request(
+            f"http://{self.ip}:{self._ports.reports}/v1/instances/i-{self.ip}",
+            data=json.dumps(body).encode(),
+            method="PUT",
+        )
+        urllib.request.urlopen(request, timeout=2).close()
+
+    def close(self) -> None:
+        """Ends the threads."""
+        with self._lock:
+            self._is_running = False
+        self._thread.join()
+        self._socket.close()
+
+
+class Site:
+    """Store, daemons, backend servers and one caller socket."""
+
+    def __init__(self, fleet: processes.Fleet, folder: pathlib.Path) -> None:
+        self.ports = Ports()
+        self.fleet = fleet
+        self._folder = folder
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+        self.backends = [Backend(ip, self.ports) for ip in AGENT_IPS]
+        fleet.start_platform()
+        self.store = store.Store(fleet.platform_url, calls_per_s=100)
+        self.store.create("config", "main", CONFIGURATION)
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((CALLER_IP, self.ports.packets))
+        self.socket.settimeout(0.05)
+        self._next_port = 20_000
+
+    def start(self, ip: str, role: str) -> None:
+        """Starts the daemon of an instance."""
+        ports = self.ports
+        settings: dict[str, Any] = {
+            "name": f"{role}-{ip}",
+            "role": role,
+            "ip": ip,
+            "data_centre": "a",
+            "region": "r",
+            "packets": f"{ip}:{ports.packets}",
+            "readiness": f"{ip}:{ports.readiness}",
+            "internal_ports": ports.internal,
+            "platform": f"127.0.0.1:{self.fleet.platform_port}",
+            "report_interval_ms": 1000,
+            "contact_ms": 4000,
+            "stop_timeout_ms": 6000,
+        }
+        if role == "agent":
+            settings |= {
+                "reports": f"{ip}:{ports.reports}",
+                "outbound": f"{ip}:{ports.outbound}",
+                "backend": f"{ip}:{ports.app}",
+                "service": "shop",
+            }
+        path = self._folder / f"{ip}.json"
+        path.write_text(json.dumps(settings))
+        log = (self._folder / f"{ip}.log").open("ab")
+        self._running[ip] = subprocess.Popen(
+            [sys.executable, "-m", "sapphirelift.packet_daemon"],
+            env=os.environ | {"SAPPHIRELIFT_CONFIG": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def signal(self, ip: str, number: int) -> None:
+        """Signals the daemon of an instance."""
+        self._running[ip].send_signal(number)
+
+    def wait_end(self, ip: str) -> int:
+        """Waits for a daemon's end and returns its exit status."""
+        return self._running[ip].wait(timeout=10)
+
+    def is_ready(self, ip: str) -> bool:
+        """Asks a balancer as the fabric does."""
+        url = f"http://{ip}:{self.ports.readiness}/v1/readyz"
+        try:
+            urllib.request.urlopen(url, timeout=1).close()
+        except OSError:
+            return False
+        return True
+
+    def get(self, ip: str, path: str) -> bytes:
+        """Reads a page of the admin port."""
+        url = f"http://{ip}:{self.ports.internal[1]}{path}"
+        with urllib.request.urlopen(url, timeout=2) as answer:
+            return answer.read()
+
+    def lines(self, ip: str) -> list[dict[str, Any]]:
+        """Returns the log lines of a daemon."""
+        text = (self._folder / f"{ip}.log").read_text()
+        return [json.loads(line) for line in text.splitlines()]
+
+    def report(self) -> None:
+        """Sends a report of each backend server, until one is taken."""
+        for backend in self.backends:
+            processes.wait_until(lambda b=backend: b.report() is None)
+
+    def open(self) -> flow_ends.CallerFlow:
+        """Returns a flow that has not been opened."""
+        self._next_port += 1
+        flow = packet.FlowKey(
+            packets.ip_number(CALLER_IP),
+            self._next_port,
+            packets.ip_number(ROUTE_IP),
+            443,
+        )
+        # The balancer is chosen by ``via``; nothing is repeated by itself.
+        return flow_ends.CallerFlow(
+            flow,
+            random.Random(self._next_port),
+            self._send,
+            call_later=lambda delay_ms, call: None,
+        )
+
+    def _send(self, data: bytes) -> None:
+        self.socket.sendto(data, (self.via, self.ports.packets))
+
+    def drive(
+        self,
+        caller: flow_ends.CallerFlow,
+        done: Callable[[], bool],
+        *,
+        repeat: Callable[[], None] | None = None,
+        timeout_s: float = 10.0,
+    ) -> None:
+        """Receives packets for a caller until something holds."""
+        end_s = time.monotonic() + timeout_s
+        while not done():
+            assert time.monotonic() < end_s, caller.state
+            try:
+                data = self.socket.recv(2048)
+            except TimeoutError:
+                if repeat is not None:
+                    repeat()
+                continue
+            if packets.decode_from_backend(data).flow == caller.flow:
+                caller.receive(data)
+
+    def opened(self, via: str) -> flow_ends.CallerFlow:
+        """Opens a flow by way of a balancer."""
+        self.via = via
+        caller = self.open()
+        self.drive(
+            caller, lambda: caller.state != "opening", repeat=caller.open
+        )
+        assert caller.state == "open"
+        return caller
+
+    def exchange(self, caller: flow_ends.CallerFlow, via: str) -> None:
+        """Sends a request by way of a balancer and waits for its answer."""
+        self.via = via
+        wanted = caller.answers + 1
+        caller.request()
+        self.drive(
+            caller,
+            lambda: caller.answers == wanted or caller.state != "open",
+            repeat=caller.request,
+        )
+        assert caller.answers == wanted
+
+    def close(self) -> None:
+        """Ends all processes that this test has started."""
+        for running in self._running.values():
+            if running.poll() is None:
+                running.kill()
+            running.wait()
+        for backend in self.backends:
+            backend.close()
+        self.socket.close()
+
+
+@pytest.fixture
+def site(fleet: processes.Fleet, tmp_path: pathlib.Path) -> Iterator[Site]:
+    """Two balancers and two agents that know each other."""
+    made = Site(fleet, tmp_path)
+    try:
+        for ip in AGENT_IPS:
+            made.start(ip, "agent")
+        for ip in BALANCER_IPS:
+            made.start(ip, "balancer")
+        made.report()
+        for ip in BALANCER_IPS:
+            processes.wait_until(lambda ip=ip: made.is_ready(ip))
+        processes.wait_until(
+            lambda: all(
+                sum(
+                    a["state"] == "ready"
+                    for a in json.loads(made.get(ip, "/dump"))[
+                        "agents"
+                    ].values()
+                )
+                == 2
+                for ip in BALANCER_IPS
+            )
+        )
+        yield made
+    finally:
+        made.close()
+
+
+class TestPacketDaemon:
+    """A flow through real processes."""
+
+    def test_flow_moves_between_balancers_and_agent_restarts(
+        self, site: Site
+    ) -> None:
+        """Guards against owners lost by a balancer or an agent that ends."""
+        first, second = BALANCER_IPS
+        caller = site.opened(first)
+        site.exchange(caller, first)
+        site.exchange(caller, second)
+        site.signal(first, signal.SIGKILL)
+        site.wait_end(first)
+        site.exchange(caller, second)
+        for ip in AGENT_IPS:
+            site.signal(ip, signal.SIGKILL)
+            site.wait_end(ip)
+            site.start(ip, "agent")
+        site.report()
+        site.start(first, "balancer")
+        processes.wait_until(lambda: site.is_ready(first))
+        site.exchange(caller, first)
+        owners = [b for b in site.backends if b.server.holds(caller.flow)]
+        assert len(owners) == 1
+
+    def test_planned_stop_of_a_balancer(self, site: Site) -> None:
+        """Guards against a stop that drops what the fabric still sends."""
+        first = BALANCER_IPS[0]
+        caller = site.opened(first)
+        site.signal(first, signal.SIGTERM)
+        processes.wait_until(lambda: not site.is_ready(first))
+        site.exchange(caller, first)
+        assert site.wait_end(first) == 0
+        assert [line["event"] for line in site.lines(first)][-1] == "stopped"
+
+    def test_draining_backend_server_gets_no_new_flow(self, site: Site) -> None:
+        """Guards against new flows after the report was acknowledged."""
+        leaving, other = site.backends
+        leaving.report(state="draining")
+        for _ in range(4):
+            caller = site.opened(BALANCER_IPS[0])
+            assert other.server.holds(caller.flow) or not (
+                leaving.server.holds(caller.flow)
+            )
+        assert leaving.server.opened == set()
+
+    def test_metrics_and_garbage(self, site: Site) -> None:
+        """Guards against datagrams that end a process, and blind spots."""
+        first = BALANCER_IPS[0]
+        caller = site.opened(first)
+        site.exchange(caller, first)
+        for data in (b"", b"x", bytes(40), os.urandom(1500)):
+            site.socket.sendto(data, (first, site.ports.packets))
+            site.socket.sendto(data, (first, site.ports.internal[0]))
+        site.exchange(caller, first)
+        processes.wait_until(
+            lambda: (
+                b"sapphirelift_open_seconds_bucket"
+                in site.get(first, "/metrics")
+            )
+        )
+        text = site.get(first, "/metrics").decode()
+        assert (
+            'sapphirelift_dropped_datagrams_total{reason="truncated"}' in text
+        )
+        site.signal(first, signal.SIGHUP)
+        processes.wait_until(
+            lambda: "reloaded" in {li["event"] for li in site.lines(first)}
+        )
+        sent = [li for li in site.lines(first) if li["event"] == "open_sent"]
+        assert sent[0]["flow"] == str(caller.flow)
+        assert sent[0]["configuration_revision"] > 0
