--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -24,13 +24,13 @@
 # is taken to be unresponsive, and for how long.
 UNANSWERED_OPENS = 2
 UNRESPONSIVE_MS = 500
-# Callers give an opening packet up after 1.4 s; what is left then is the way
-# there and back, and another try.
-MAX_HOLD_MS = 1000
-MAX_OVERTIME_MS = 200
-# A backend server queues a few requests more than it has slots; half as many
-# keep it busy without making them wait for long.
-EXTRA_OPENS_PER_SLOT = 0.5
+# Half of the shortest deadline of requests (1.2 s), so that a caller who is
+# refused then has time for another try.
+MAX_HOLD_MS = 600
+# A backend server queues requests beyond its slots. With two and a half times
+# as many as it has slots, the last one still meets the latency objective,
+# which is five times the work or more.
+EXTRA_OPENS_PER_SLOT = 1.5
 # The request of a flow without an answer for this long is not counted as in
 # progress any more, so that lost answers do not use up the room for others.
 MAX_REQUEST_MS = 5000
@@ -440,7 +440,7 @@
         make those late that come in time.
         """
         for key, flow in reversed(self.flows.held()):
-            if now_ms - flow.held_ms > MAX_HOLD_MS + MAX_OVERTIME_MS:
+            if now_ms - flow.held_ms > MAX_HOLD_MS:
                 self._set_idle(flow, now_ms)
                 self._pass_on(key, flow, "overloaded", now_ms)
             elif now_ms >= flow.sent_ms and self._has_room():
