--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -441,7 +441,8 @@
         """
         for key, flow in reversed(self.flows.held()):
             if now_ms - flow.held_ms > MAX_HOLD_MS:
-                self._set_idle(flow, now_ms)
+                # Held once more elsewhere, it would outlast its caller.
+                flow.others = ()
                 self._pass_on(key, flow, "overloaded", now_ms)
             elif now_ms >= flow.sent_ms and self._has_room(now_ms):
                 self._give_open(key, flow, now_ms)
--- a/tests/test_l4_flows.py
+++ b/tests/test_l4_flows.py
@@ -513,6 +513,24 @@
         assert sum(f.answers for f in fresh) == 60
         assert self.returning_answers == len(returning)
 
+    def test_held_opening_is_refused_while_its_caller_can_try_again(
+        self,
+    ) -> None:
+        """Guards against openings that are held by one agent after another."""
+        made = packet_network.Network(1, has_slots=True)
+        for _ in range(2):
+            made.add_agent(work_ms=2000, slots=1)
+        made.add_balancer()
+        made.run(500)
+        for _ in range(4):
+            made.open_flow().opens_with_request = True
+            made.run(20)
+        caller = made.open_flow()
+        made.run(550)
+        assert caller.state == "opening"
+        made.run(150)
+        assert caller.state == "reset"
+
     def test_fresh_callers_are_served_in_time(self) -> None:
         """Guards against a backlog that makes everybody late."""
         self.storm()
