--- /dev/null
+++ b/tests/test_packet_capacity.py
@@ -0,0 +1,43 @@
+"""The tools that measure the packet daemon."""
+
+from sapphirelift.bench import packet_capacity
+from sapphirelift.bench import placement
+
+
+class TestPacketCapacity:
+    """Slopes of docs/CAPACITY.md."""
+
+    def test_messages_stay_small(self) -> None:
+        """Guards against control messages that outgrow their budget.
+
+        An agent sends 2.5 heartbeats a second and gets as many answers; with
+        8 balancers that watch it, 300 B in both directions together are the
+        6 KB/s that a daemon may use.
+        """
+        sizes = packet_capacity.message_bytes()
+        assert sizes["Heartbeat"] + sizes["HeartbeatAck"] <= 300
+        assert sizes["Ask"] + sizes["Answer"] <= 100
+
+    def test_flows_stay_small(self) -> None:
+        """Guards against tables that outgrow an instance.
+
+        A balancer of the design size holds 11,000 open flows, an agent 1,300;
+        a daemon may use 256 MB.
+        """
+        assert packet_capacity.bytes_per_agent_flow() * 1300 < 16e6
+        assert packet_capacity.bytes_per_cached_owner() * 60_000 < 64e6
+
+
+class TestPlacement:
+    """The choice of agents against simpler ones."""
+
+    def test_least_work_is_the_most_even(self) -> None:
+        """Guards against a choice that is worse than hashing alone."""
+        found = placement.compare()
+        ours = found["least_expected_work"]
+        hashed = found["rendezvous"]
+        assert max(ours["imbalance_max_over_mean"]) <= 1.10
+        assert min(hashed["imbalance_max_over_mean"]) > max(
+            ours["imbalance_max_over_mean"]
+        )
+        assert sum(ours["answered_in_time"]) >= sum(hashed["answered_in_time"])
