Free the room of lost openings and of requests given up

Change: an opening without an answer counts for 150 ms and is dropped after 1.5 s; a caller's FIN ends its request's count, which is bounded by 2 s. Tests: test_lost_openings_use_up_no_room and test_request_that_its_caller_gives_up_uses_no_room, which fail without it.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -20,6 +20,8 @@
 # The backend server answers an opening packet within a millisecond, but its
 # instance stalls for up to 100 ms when its processor quota is used up.
 ACCEPT_MS = 80
+# Callers give an opening packet up after 1.4 s.
+OPEN_LIFETIME_MS = 1500
 # Opening packets without an answer in a row after which the backend server
 # is taken to be unresponsive, and for how long.
 UNANSWERED_OPENS = 2
@@ -33,7 +35,7 @@
 EXTRA_OPENS_PER_SLOT = 1.0
 # The request of a flow without an answer for this long is not counted as in
 # progress any more, so that lost answers do not use up the room for others.
-MAX_REQUEST_MS = 5000
+MAX_REQUEST_MS = 2000
 # Weight of a new figure in averages.
 RESPONSE_WEIGHT = 0.1
 # Time constant of the average of requests in progress.
@@ -552,6 +554,9 @@
             self._set_busy(flow, now_ms)
         if received.is_reset:
             self._end(key, flow, now_ms)
+        elif received.is_fin:
+            # The caller waits for no answer any more.
+            self._set_idle(flow, now_ms)
         self._actions.append(actions.SendBackend(deliver.data))
 
     def _confirm(
@@ -723,6 +728,11 @@
         for key, flow in self.flows.opening():
             if flow.phase is _Phase.HELD:
                 continue
+            if now_ms - flow.sent_ms > OPEN_LIFETIME_MS:
+                self.flows.remove(key)
+                self.counters["opens_unanswered"] += 1
+                self._log("open_timed_out", flow=str(key))
+                continue
             if now_ms - flow.sent_ms < ACCEPT_MS or not flow.others:
                 continue
             self._unanswered += 1
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -18,6 +18,9 @@
 # The first packet of a caller comes a round trip (6 ms) after the acceptance;
 # one that has not come after several may never come.
 FIRST_PACKET_MS = 50
+# A backend server answers an opening packet within a millisecond, and within
+# 100 ms while its instance's processor quota is used up.
+UNANSWERED_MS = 150
 
 
 class Phase(enum.Enum):
@@ -106,10 +109,13 @@
         """Returns the number of flows that are about to bring a request.
 
         The backend server has been given their opening packet, and the
-        caller's first packet has not come yet.
+        caller's first packet has not come yet. Openings that it has not
+        answered soon may have been lost and use up no room.
         """
         opening = sum(
-            flow.phase is Phase.OPENING for flow in self._opening.values()
+            flow.phase is Phase.OPENING
+            and now_ms - flow.sent_ms < UNANSWERED_MS
+            for flow in self._opening.values()
         )
         while self._accepted:
             flow = next(iter(self._accepted.values()))
--- a/tests/test_l4_flows.py
+++ b/tests/test_l4_flows.py
@@ -531,6 +531,48 @@
         made.run(150)
         assert caller.state == "reset"
 
+    def test_lost_openings_use_up_no_room(self) -> None:
+        """Guards against a server that gets nothing after a stall.
+
+        Its instance drops what comes in for a moment, as after a loss of
+        power; the callers give up.
+        """
+        made = packet_network.Network(1, has_slots=True)
+        host = made.add_agent(slots=2)
+        made.add_balancer()
+        made.run(500)
+        host.backend.is_alive = False
+        for _ in range(10):
+            made.open_flow().opens_with_request = True
+        made.run(2100)
+        host.backend.is_alive = True
+        host.report()
+        made.run(700)
+        late = made.open_flow()
+        late.opens_with_request = True
+        made.run(100)
+        assert late.answers == 1
+        made.run(2000)
+        assert len(host.agent.flows) <= 11
+        assert not host.agent.has_pending
+
+    def test_request_that_its_caller_gives_up_uses_no_room(self) -> None:
+        """Guards against room that callers who have left still use up."""
+        made = packet_network.Network(1, has_slots=True)
+        host = made.add_agent(work_ms=60_000, slots=1)
+        made.add_balancer()
+        made.run(500)
+        flows = open_flows(made, 3)
+        for flow in flows:
+            flow.request()
+        made.run(50)
+        assert host.agent.dump(made.now_ms)["busy"] == 3
+        host.backend.is_alive = False
+        for flow in flows:
+            flow.close()
+        made.run(50)
+        assert host.agent.dump(made.now_ms)["busy"] == 0
+
     def test_fresh_callers_are_served_in_time(self) -> None:
         """Guards against a backlog that makes everybody late."""
         self.storm()
