--- a/sapphirelift/core/l4/agents.py
+++ b/sapphirelift/core/l4/agents.py
@@ -23,8 +23,8 @@
 # An agent that has not answered an opening packet gets no further ones for
 # this long, unless a heartbeat shows that it runs.
 UNANSWERED_OPEN_MS = 500
-# Silent agents are kept as possible owners of flows for as long as flows
-# live, see ``FlowLifetimeS`` of the platform's bounds.
+# Silent agents are introduced again for as long as their flows may live, 60 s
+# by the platform's bounds.
 FORGET_AFTER_MS = 60_000
 # The design size is 7,000 agents.
 MAX_AGENTS = 10_000
