Accept bounds that are fractions, and a single internal port

Cause: the platform's bounds may be fractions or missing, and the templates made invalid settings of them; a daemon would not start.

--- a/sapphirelift/_packet_agent.py
+++ b/sapphirelift/_packet_agent.py
@@ -37,7 +37,7 @@
                 data_centre=settings.data_centre,
                 region=settings.region,
             ),
-            report_interval_ms=settings.report_interval_ms,
+            report_interval_ms=round(settings.report_interval_ms),
             started_unix_ms=self.started_unix_ms,
             is_first_start=settings.is_first_start,
             now_ms=clock.now_ms(),
@@ -86,9 +86,7 @@
         )
         self.log.flush()
         if has_left:
-            self._directory.remove(
-                timeout_s=self.settings.stop_timeout_ms / 1000 / 3
-            )
+            self._directory.remove(timeout_s=self.settings.stop_timeout_s / 3)
         eventlet.sleep(LINGER_S)
         self.stopped()
 
--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -40,7 +40,7 @@
             replica=settings.admin_address,
             now_ms=clock.now_ms(),
             rng=self.rng,
-            contact_ms=settings.contact_ms,
+            contact_ms=round(settings.contact_ms),
         )
         self._held: dict[str, Any] = {}
         self._is_fetching = False
@@ -95,7 +95,7 @@
         self.perform()
         self.log.write("stopping", linger_s=LINGER_S)
         self.log.flush()
-        eventlet.sleep(min(LINGER_S, self.settings.stop_timeout_ms / 1000 / 2))
+        eventlet.sleep(min(LINGER_S, self.settings.stop_timeout_s / 2))
         self.stopped()
 
     def dump(self) -> dict[str, Any]:
--- a/sapphirelift/deployment.py
+++ b/sapphirelift/deployment.py
@@ -29,7 +29,7 @@
             used for datagrams and the last for HTTP.
         platform: ``IP:PORT`` of the platform's object store.
         report_interval_ms: Interval of the backend server's reports.
-        stop_timeout_ms: Time from a signal to stop until the process must
+        stop_timeout_s: Time from a signal to stop until the process must
             have ended.
         contact_ms: Silence after which an instance counts as lost.
         is_first_start: Whether the whole system starts for the first time.
@@ -44,9 +44,9 @@
     readiness: str
     internal_ports: tuple[int, int]
     platform: str
-    report_interval_ms: int
-    stop_timeout_ms: int
-    contact_ms: int
+    report_interval_ms: float
+    stop_timeout_s: float
+    contact_ms: float
     is_first_start: bool = False
     reports: str = ""
     outbound: str = ""
@@ -117,9 +117,9 @@
         except ValueError as error:
             raise _problem(field, "use IP:PORT") from error
     first, last = settings.internal_ports
-    if not 0 < first < last < 65536:
-        raise _problem("internal_ports", "use two ports or more")
-    for field in ("report_interval_ms", "stop_timeout_ms", "contact_ms"):
+    if not 0 < first <= last < 65536:
+        raise _problem("internal_ports", "name the first and the last port")
+    for field in ("report_interval_ms", "stop_timeout_s", "contact_ms"):
         if getattr(settings, field) <= 0:
             raise _problem(field, "use a duration above 0")
     return settings
