Remove what the change left without use

Cause: found when reading the change: a property beside the field that it returned, an alias for it, a parameter that nobody passes, a method that nobody calls. Change: these are gone; behaviour stays.

--- a/sapphirelift/_packet_agent.py
+++ b/sapphirelift/_packet_agent.py
@@ -76,7 +76,7 @@
 
     def stop(self) -> None:
         """Tells the balancers and ends; flows go on after a restart."""
-        has_left = self.core.is_idle
+        has_left = self.core.backend.is_gone
         self.core.leave(clock.now_ms())
         self.perform()
         self.log.write(
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -131,11 +131,6 @@
         """Whether ``tick`` has something to do soon."""
         return self.flows.has_opening
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether the backend server has left."""
-        return self.backend.is_gone
-
     def dump(self, now_ms: int) -> dict[str, object]:
         """Returns the state for operators."""
         return {
--- a/sapphirelift/core/l4/backend.py
+++ b/sapphirelift/core/l4/backend.py
@@ -42,16 +42,17 @@
     Attributes:
         report: Its newest report, None before the first one.
         heard_ms: When that came.
+        is_gone: Whether it has said that it has left.
+        cold_opens_per_s: New flows a second that it bears while it is cold,
+            from the configuration; 0 for no rate.
     """
 
-    def __init__(
-        self, *, report_interval_ms: int, cold_opens_per_s: float = 0.0
-    ) -> None:
+    def __init__(self, *, report_interval_ms: int) -> None:
         self.report: Report | None = None
-        self.cold_opens_per_s = cold_opens_per_s
+        self.cold_opens_per_s = 0.0
         self._silent_after_ms = report_interval_ms * SILENT_INTERVALS
         self.heard_ms = 0
-        self._is_gone = False
+        self.is_gone = False
         self._cold_until_ms = 0
         self._opens: collections.deque[int] = collections.deque()
 
@@ -69,11 +70,11 @@
             if (report.backend_id, report.born_ms) == (
                 held.backend_id,
                 held.born_ms,
-            ) and (self._is_gone or report.number <= held.number):
+            ) and (self.is_gone or report.number <= held.number):
                 return False
         self.report = report
         self.heard_ms = now_ms
-        self._is_gone = False
+        self.is_gone = False
         self._cold_until_ms = now_ms + report.cold_ms
         return True
 
@@ -81,7 +82,7 @@
         """Takes the news that a backend server has left for good."""
         if self.report is None or self.report.backend_id != backend_id:
             return False
-        self._is_gone = True
+        self.is_gone = True
         return True
 
     def assume_cold(self, now_ms: int, for_ms: int) -> None:
@@ -92,17 +93,12 @@
         """Returns one of the states of ``core.l4.agents``."""
         if (
             self.report is None
-            or self._is_gone
+            or self.is_gone
             or now_ms - self.heard_ms > self._silent_after_ms
         ):
             return agents.UNAVAILABLE
         return agents.DRAINING if self.report.is_draining else agents.READY
 
-    @property
-    def is_gone(self) -> bool:
-        """Whether it has said that it has left."""
-        return self._is_gone
-
     def cold_ms(self, now_ms: int) -> int:
         """Returns the time until it is warm."""
         return max(self._cold_until_ms - now_ms, 0)
--- a/sapphirelift/platform/http.py
+++ b/sapphirelift/platform/http.py
@@ -32,10 +32,6 @@
         """Starts to serve."""
         tasks.spawn(self._name, self._serve)
 
-    def stop(self) -> None:
-        """Takes no further connections."""
-        self._listener.close()
-
     def _serve(self) -> None:
         eventlet.wsgi.server(self._listener, self.answer, log_output=False)
 
