Keep the state of agents bounded and correct

Cause, found by reading: flows that were abandoned, timed out or evicted kept their request in progress, so that the agent believed it was busy for good; each opening of a warm backend server stayed in the list of the cold rate; a relearned flow counted as accepted at time 0 and was reset by the report of a restart; an owner that refused a copy of an opening left its caller waiting for 1.4 s; an opening was passed on during a stall of 100 ms; sequence numbers of the stand-ins did not wrap.

Change: one function removes a flow together with its request; reservations older than the window are dropped; relearned flows have their time; a refusing owner is forgotten and the caller reset; the time to accept is 105 ms, that to answer an opening 140 ms.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -20,7 +20,7 @@
 # Time the backend server has to answer an opening packet before it is passed on
 # to another agent. It normally takes less than a millisecond, but an instance
 # that has used up its CPU quota stalls for up to 100 ms.
-ACCEPT_MS = 80
+ACCEPT_MS = 105
 # Callers stop retransmitting an opening packet after 1.4 s.
 OPEN_LIFETIME_MS = 1500
 # After this many consecutive unanswered opening packets, the backend server
@@ -152,6 +152,11 @@
 
     # The backend server.
 
+    def set_report_interval(self, interval_ms: int) -> None:
+        """Sets the interval of the backend server's reports."""
+        self._report_interval_ms = interval_ms
+        self.backend.set_report_interval(interval_ms)
+
     def on_report(self, report: backend_module.Report, now_ms: int) -> None:
         """Handles a report of the backend server."""
         former = self.backend.report
@@ -213,8 +218,7 @@
             if flow.phase is _Phase.OPEN and flow.accepted_ms < former_heard_ms
         ]
         for key, flow in ended:
-            self._finish_request(flow, now_ms)
-            self.flows.remove(key)
+            self._remove_flow(key, now_ms)
             self.counters["resets_backend_restarted"] += 1
             self._actions.append(
                 actions.ResetCaller(key, flow.caller_acknowledged)
@@ -277,8 +281,13 @@
             return
         if flow is None:
             # Opened before this incarnation of the agent.
-            flow = flow_table.Flow(_Phase.OPEN, messages.Address("", 0), now_ms)
-            self.flows.add(received.flow, flow)
+            flow = flow_table.Flow(
+                _Phase.OPEN,
+                messages.Address("", 0),
+                now_ms,
+                accepted_ms=now_ms,
+            )
+            self._add_flow(received.flow, flow, now_ms)
             self.counters["flows_relearned"] += 1
         self.flows.touch(received.flow, flow, now_ms)
         if received.payload_bytes and flow.request_ms is not None:
@@ -347,8 +356,7 @@
         is_probe = flow.caller_sequence is None
         balancer = flow.balancer
         phase = flow.phase
-        self._finish_request(flow, now_ms)
-        self.flows.remove(key)
+        self._remove_flow(key, now_ms)
         if is_probe or phase is not _Phase.OPEN:
             # The backend server may never have had this flow.
             missed = messages.Missed(self.identity.address, received.raw)
@@ -390,8 +398,6 @@
             self.backend.cancel_reservation()
             self._pass_on_or_refuse(key, offer, "cold", wait_ms)
             return
-        if flow is not None:
-            self._finish_request(flow, now_ms)
         self.counters["opens"] += 1
         flow = flow_table.Flow(
             _Phase.HELD,
@@ -403,7 +409,7 @@
             sent_ms=now_ms + wait_ms,
             held_ms=now_ms,
         )
-        self.flows.add(key, flow)
+        self._add_flow(key, flow, now_ms)
         if wait_ms or not self._has_capacity(now_ms):
             self._send_held(key, flow, wait_ms, now_ms)
         else:
@@ -569,7 +575,7 @@
         now_ms: int,
     ) -> None:
         """Removes an unaccepted flow; passes its opening on or refuses it."""
-        self.flows.remove(key)
+        self._remove_flow(key, now_ms)
         offer = messages.Open(
             self.identity.service,
             flow.balancer,
@@ -598,7 +604,7 @@
             flow = flow_table.Flow(
                 _Phase.OPEN, deliver.balancer, now_ms, accepted_ms=now_ms
             )
-            self.flows.add(key, flow)
+            self._add_flow(key, flow, now_ms)
         if flow.phase is _Phase.ACCEPTED and not self._is_confirmed_by_caller(
             flow, received, deliver
         ):
@@ -665,6 +671,18 @@
             )
             self._average_updated_ms = now_ms
 
+    def _add_flow(
+        self, key: packet.FlowKey, flow: flow_table.Flow, now_ms: int
+    ) -> None:
+        for removed in self.flows.add(key, flow):
+            self._finish_request(removed, now_ms)
+
+    def _remove_flow(self, key: packet.FlowKey, now_ms: int) -> None:
+        """Removes a flow together with its request in progress."""
+        removed = self.flows.remove(key)
+        if removed is not None:
+            self._finish_request(removed, now_ms)
+
     def _start_request(self, flow: flow_table.Flow, now_ms: int) -> None:
         self._update_average_active_requests(now_ms)
         flow.request_ms = now_ms
@@ -800,7 +818,7 @@
             if flow.phase is _Phase.HELD:
                 continue
             if now_ms - flow.sent_ms > OPEN_LIFETIME_MS:
-                self.flows.remove(key)
+                self._remove_flow(key, now_ms)
                 self.counters["opens_unanswered"] += 1
                 self._log("open_timed_out", flow=str(key))
                 continue
--- a/sapphirelift/core/l4/backend.py
+++ b/sapphirelift/core/l4/backend.py
@@ -51,12 +51,16 @@
     def __init__(self, *, report_interval_ms: int) -> None:
         self.report: Report | None = None
         self.cold_opens_per_s = 0.0
-        self._silent_after_ms = report_interval_ms * SILENT_INTERVALS
+        self.set_report_interval(report_interval_ms)
         self.last_heard_ms = 0
         self.has_departed = False
         self._cold_until_ms = 0
         self._open_times_ms: collections.deque[int] = collections.deque()
 
+    def set_report_interval(self, interval_ms: int) -> None:
+        """Sets the interval from which a missing report is recognised."""
+        self._silent_after_ms = interval_ms * SILENT_INTERVALS
+
     def update_from_report(self, report: Report, now_ms: int) -> bool:
         """Updates the state from a report.
 
@@ -119,6 +123,7 @@
         on a cold backend server is then ``exceeds_cold_rate``, which applies
         while other agents may take the flow.
         """
+        self._drop_expired_opens(now_ms)
         wait_ms = 0
         if self.cold_opens_per_s > 0 and self.cold_ms(now_ms) > 0:
             wait_ms = self._wait_ms(now_ms)
@@ -129,12 +134,15 @@
         """Cancels the last reservation."""
         self._open_times_ms.pop()
 
-    def _wait_ms(self, now_ms: int) -> int:
+    def _drop_expired_opens(self, now_ms: int) -> None:
         while (
             self._open_times_ms
             and now_ms - self._open_times_ms[0] >= COLD_WINDOW_MS
         ):
             self._open_times_ms.popleft()
+
+    def _wait_ms(self, now_ms: int) -> int:
+        self._drop_expired_opens(now_ms)
         limit = int(self.cold_opens_per_s) + COLD_EXTRA_OPENS
         if len(self._open_times_ms) < limit:
             return 0
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -19,10 +19,10 @@
 from sapphirelift.core.l4 import samples
 
 # Time an agent has to answer an opening packet, which it does once its backend
-# server has accepted the flow. Longer than the stalls of up to 100 ms of an
-# instance that has used up its CPU quota, and shorter than the 200 ms after
-# which callers retransmit the packet.
-OPEN_ANSWER_MS = 120
+# server has accepted the flow. Longer than the time after which an agent passes
+# on an opening that its backend server has not answered (``agent.ACCEPT_MS``
+# and one tick), and shorter than the 200 ms after which callers retransmit it.
+OPEN_ANSWER_MS = 140
 # Callers stop retransmitting an opening packet after 1.4 s.
 OPEN_LIFETIME_MS = 1500
 # Size of the owner cache: five times the open flows of an entry instance at the
@@ -115,6 +115,8 @@
         has_directory: Whether the addresses of all daemons are known, so
             that a flow without an owner among the agents does not exist.
         peers: Other balancers and when each was last heard.
+        contact_ms: Time without messages after which an instance that has
+            announced a stop, or has never been heard, counts as lost.
     """
 
     def __init__(
@@ -133,9 +135,7 @@
             replica: Address at which it serves its configuration.
             now_ms: Current time.
             rng: Random number generator for choosing gossip targets.
-            contact_ms: Time without messages after which an instance that
-                has announced a stop, or has never been heard, counts as
-                lost.
+            contact_ms: See the attribute.
         """
         self.configuration = routes.Configuration()
         self.evacuations = routes.Evacuations()
@@ -148,7 +148,7 @@
         self._address = address
         self._replica = replica
         self._rng = rng
-        self._contact_ms = contact_ms
+        self.contact_ms = contact_ms
         self._departed_agents: dict[messages.Address, _DepartedAgent] = {}
         self._unconfirmed_agents: dict[messages.Address, int] = {}
         self._started_ms = now_ms
@@ -414,7 +414,7 @@
             return True
         agent = self.agents.get(address)
         return agent is not None and not agent.may_own(
-            now_ms, contact_ms=self._contact_ms
+            now_ms, contact_ms=self.contact_ms
         )
 
     def _resolve_alternative(
@@ -480,13 +480,13 @@
         likely: list[messages.Address] = []
         others: list[messages.Address] = []
         for agent in self.agents:
-            if agent.may_own(now_ms, contact_ms=self._contact_ms):
+            if agent.may_own(now_ms, contact_ms=self.contact_ms):
                 is_likely = agent.heartbeat.service in services
                 (likely if is_likely else others).append(agent.address)
         others += [
             address
             for address, found_ms in self._unconfirmed_agents.items()
-            if now_ms - found_ms <= self._contact_ms
+            if now_ms - found_ms <= self.contact_ms
         ]
         return [*likely, *others][:MAX_ASKED_AGENTS]
 
@@ -608,7 +608,7 @@
 
     def _on_refused(self, refused: messages.Refused, now_ms: int) -> None:
         opening = self._openings.pop(refused.flow, None)
-        if opening is None:
+        if opening is None and not self._forget_refusing_owner(refused):
             return
         self.counters[f"opens_refused_{refused.reason}"] += 1
         self._log(
@@ -617,10 +617,31 @@
             reason=refused.reason,
             agent=self._agent_name(refused.agent),
             retry_after_ms=refused.retry_after_ms,
-            waited_ms=now_ms - opening.started_ms,
+            waited_ms=(
+                now_ms - opening.started_ms if opening is not None else None
+            ),
         )
         self._actions.append(actions.ResetCaller(refused.flow, 0))
 
+    def _forget_refusing_owner(self, refused: messages.Refused) -> bool:
+        """Forgets an owner that has refused a copy of the opening packet.
+
+        The agent has lost the flow since it accepted it, and the caller still
+        waits for the acceptance.
+
+        Returns:
+            Whether the refusing agent was the owner.
+        """
+        owner = self._owners.get(refused.flow)
+        if (
+            owner is None
+            or owner.address != refused.agent
+            or owner.caller_sequence is None
+        ):
+            return False
+        del self._owners[refused.flow]
+        return True
+
     def on_missed(
         self,
         agent: messages.Address,
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -142,23 +142,30 @@
             if flow.phase is Phase.HELD
         ]
 
-    def add(self, key: packet.FlowKey, flow: Flow) -> None:
-        """Adds a flow, evicting the least recently used one if full."""
-        self.remove(key)
+    def add(self, key: packet.FlowKey, flow: Flow) -> list[Flow]:
+        """Adds a flow, evicting the least recently used one if full.
+
+        Returns:
+            The flows removed: a former one with the same key, and the evicted
+            one.
+        """
+        removed = [self.remove(key)]
         if len(self._flows) >= MAX_FLOWS:
-            self.remove(next(iter(self._flows)))
+            removed.append(self.remove(next(iter(self._flows))))
         self._flows[key] = flow
         if not flow.phase.is_owned:
             self._opening[key] = flow
         self.open_flows += flow.phase is not Phase.ENDED
+        return [former for former in removed if former is not None]
 
-    def remove(self, key: packet.FlowKey) -> None:
-        """Removes a flow if it is in the table."""
+    def remove(self, key: packet.FlowKey) -> Flow | None:
+        """Removes and returns a flow, or None if it is not in the table."""
         flow = self._flows.pop(key, None)
         if flow is not None:
             self._opening.pop(key, None)
             self._accepted.pop(key, None)
             self.open_flows -= flow.phase is not Phase.ENDED
+        return flow
 
     def move(self, key: packet.FlowKey, flow: Flow, phase: Phase) -> None:
         """Moves a flow to another phase."""
--- a/sapphirelift/standins/flow_ends.py
+++ b/sapphirelift/standins/flow_ends.py
@@ -81,6 +81,16 @@
     )
 
 
+def _advance(sequence: int, by_bytes: int) -> int:
+    """Returns a sequence number that many bytes later, modulo 2**32."""
+    return (sequence + by_bytes) & 0xFFFFFFFF
+
+
+def _is_at_or_after(sequence: int, other: int) -> bool:
+    """Compares sequence numbers that are less than 2**31 bytes apart."""
+    return (sequence - other) & 0xFFFFFFFF < 1 << 31
+
+
 @dataclasses.dataclass
 class _FlowEntry:
     """Flow table entry of a backend server.
@@ -166,7 +176,7 @@
         if not self.accepts:
             self._send(bytes([received.raw[0] | BOUNCED]) + received.raw[1:])
             return
-        expected = (received.sequence + 1) & 0xFFFFFFFF
+        expected = _advance(received.sequence, 1)
         if entry is None or entry.expected != expected:
             entry = _FlowEntry(self._rng.getrandbits(32), expected)
             self._flows[received.flow] = entry
@@ -174,22 +184,23 @@
 
     def _on_packet(self, received: packet.Packet, entry: _FlowEntry) -> None:
         if not entry.is_open:
-            if received.acknowledged != (entry.sequence + 1) & 0xFFFFFFFF:
+            if received.acknowledged != _advance(entry.sequence, 1):
                 return
             entry.is_open = True
-            entry.sequence = (entry.sequence + 1) & 0xFFFFFFFF
+            entry.sequence = _advance(entry.sequence, 1)
             self.opened.add(received.flow)
         if received.is_fin:
             self._send_packet(received.flow, entry, FIN | ACK)
             del self._flows[received.flow]
         elif received.payload_bytes and received.sequence == entry.expected:
-            entry.expected += received.payload_bytes
+            entry.expected = _advance(entry.expected, received.payload_bytes)
             count = self.requests.get(received.flow, 0)
             self.requests[received.flow] = count + 1
             self._start_request(received.flow)
         elif received.payload_bytes:
             self._send_packet(received.flow, entry, ACK)
-        entry.sequence = max(entry.sequence, received.acknowledged)
+        if _is_at_or_after(received.acknowledged, entry.sequence):
+            entry.sequence = received.acknowledged
 
     def _start_request(self, flow: packet.FlowKey) -> None:
         if self._running < self._slots:
@@ -271,7 +282,7 @@
         self.opens_with_request = False
         self._send = send
         self._call_later = call_later
-        self._sequence = rng.getrandbits(31)
+        self._sequence = rng.getrandbits(32)
         self._expected = 0
         self._opens_sent = 0
         self._request_number = 0
@@ -297,18 +308,20 @@
                 self.state = "reset"
         elif received.is_syn and self.state == "opening":
             self.state = "open"
-            self._sequence += 1
-            self._expected = (received.sequence + 1) & 0xFFFFFFFF
+            self._sequence = _advance(self._sequence, 1)
+            self._expected = _advance(received.sequence, 1)
             self._send_flags(ACK)
             if self.opens_with_request:
                 self.request()
         elif received.payload_bytes and self.state == "open":
             if received.sequence == self._expected:
-                self._expected += received.payload_bytes
+                self._expected = _advance(
+                    self._expected, received.payload_bytes
+                )
                 if self.waiting:
                     self.waiting = False
                     self.answers += not received.raw.endswith(SHED)
-                    self._sequence += len(b"request")
+                    self._sequence = _advance(self._sequence, len(b"request"))
             self._send_flags(ACK)
 
     def close(self) -> None:
