Refuse malformed answers and settings without losing what is in force

Cause, found by reading: a page of malformed items ended a list as complete; a replica page of another shape or status raised in its task; two conflicts in a row counted as a written directory entry; a reload applied nothing; addresses of load reports, four settings of backend servers and the addresses in the packet daemon's settings were unchecked; the cause of a failed fetch was dropped; the timer of the caller library ended on an error; an HTTP server whose listener had been closed was never bound again.

Change: each input is decoded into a type, refused with its field and the remedy, and counted or logged. A reload applies the durations and names the settings that need a restart.

--- a/sapphirelift/_directory.py
+++ b/sapphirelift/_directory.py
@@ -181,6 +181,9 @@
             except errors.ConflictError:
                 # An earlier start left an entry, or the entry is missing.
                 create = not create
+        raise errors.PlatformUnavailableError(
+            f"{KIND}/{self._name} was created and removed by another writer"
+        )
 
     def _list(self, *, allow_stale: bool) -> None:
         listing = self._store.list_kind(KIND, allow_stale=allow_stale)
--- a/sapphirelift/_packet_agent.py
+++ b/sapphirelift/_packet_agent.py
@@ -93,6 +93,10 @@
         eventlet.sleep(LINGER_S)
         self.log_stopped()
 
+    def apply_durations(self) -> None:
+        """Passes the durations in the settings on to the decision logic."""
+        self.core.set_report_interval(round(self.settings.report_interval_ms))
+
     def dump(self) -> dict[str, Any]:
         """Returns the state of the process as JSON data."""
         return super().dump() | self.core.dump(clock.now_ms())
--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -1,9 +1,9 @@
 """Packet daemon in the role of a balancer."""
 
-import json
 from typing import Any
 
 import eventlet
+import msgspec
 import urllib3
 
 from sapphirelift import _directory
@@ -31,6 +31,25 @@
 LINGER_S = 2.5
 
 
+class _ReplicaConfiguration(msgspec.Struct):
+    revision: int
+    value: Any
+
+
+class _ReplicaEvacuations(msgspec.Struct):
+    revision: int
+    data_centres: list[str]
+
+
+class _Replica(msgspec.Struct):
+    """State that a balancer serves to the others at ``REPLICA_PATH``."""
+
+    configuration: _ReplicaConfiguration | None = None
+    evacuations: _ReplicaEvacuations | None = None
+    has_directory: bool = False
+    agents: list[messages.Address] = []
+
+
 class PacketBalancerNode(_packet_node.PacketNode):
     """Sockets, store watches and gossip of a balancer."""
 
@@ -99,6 +118,10 @@
         eventlet.sleep(min(LINGER_S, self.settings.stop_timeout_s / 2))
         self.log_stopped()
 
+    def apply_durations(self) -> None:
+        """Passes the durations in the settings on to the decision logic."""
+        self.core.contact_ms = round(self.settings.contact_ms)
+
     def dump(self) -> dict[str, Any]:
         """Returns the state of the process as JSON data."""
         now_ms = clock.now_ms()
@@ -214,40 +237,42 @@
             response = self._http.request(
                 "GET", f"http://{address.ip}:{address.port}{REPLICA_PATH}"
             )
-            fetched = json.loads(response.data)
-            self._apply_replica(fetched, source)
+            if response.status != 200:
+                raise errors.FetchError(f"status {response.status}")
+            fetched = msgspec.json.decode(response.data, type=_Replica)
         except (
             urllib3.exceptions.HTTPError,
             OSError,
             ValueError,
-            KeyError,
-            TypeError,
+            errors.FetchError,
         ) as error:
             self.log.write(
                 "replica_not_fetched",
                 source=source,
-                reason=type(error).__name__,
+                reason=f"{type(error).__name__}: {error}",
             )
+        else:
+            self._apply_replica(fetched, source)
         finally:
             self._is_fetching = False
 
-    def _apply_replica(self, fetched: dict[str, Any], source: str) -> None:
-        entry = fetched.get("configuration")
+    def _apply_replica(self, fetched: _Replica, source: str) -> None:
+        entry = fetched.configuration
         if entry is not None:
-            self._apply_configuration(entry["value"], entry["revision"], source)
+            self._apply_configuration(entry.value, entry.revision, source)
         now_ms = clock.now_ms()
-        for ip, port in fetched.get("agents", ()):
-            self.core.add_agent(messages.Address(ip, port), now_ms)
-        if fetched.get("has_directory"):
+        for address in fetched.agents:
+            self.core.add_agent(address, now_ms)
+        if fetched.has_directory:
             self.core.has_directory = True
-        evacuations = fetched.get("evacuations")
+        evacuations = fetched.evacuations
         if (
             evacuations is not None
-            and evacuations["revision"] > self.core.evacuations.revision
+            and evacuations.revision > self.core.evacuations.revision
         ):
             self._apply_evacuations(
-                frozenset(evacuations["data_centres"]),
-                evacuations["revision"],
+                frozenset(evacuations.data_centres),
+                evacuations.revision,
                 source,
             )
         self.perform()
--- a/sapphirelift/_packet_node.py
+++ b/sapphirelift/_packet_node.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import eventlet
+import msgspec
 
 from sapphirelift import _directory
 from sapphirelift import clock
@@ -29,6 +30,10 @@
 MAX_PACKET_BYTES = 2048
 TICK_INTERVAL_S = 0.02
 SWEEP_INTERVAL_S = 1.0
+# Settings that take effect without a restart.
+RELOADABLE_SETTINGS = frozenset(
+    {"report_interval_ms", "stop_timeout_s", "contact_ms"}
+)
 # Drops are logged at most once per reason within this time.
 DROP_LOG_INTERVAL_MS = 10_000
 
@@ -158,13 +163,28 @@
         self.log.flush()
 
     def reload(self, settings: deployment.Deployment) -> None:
-        """Logs which settings changed; they take effect after a restart."""
-        changed = [
-            field
+        """Applies changed durations; other settings need a restart."""
+        changed = {
+            field: getattr(settings, field)
             for field in settings.__struct_fields__
             if getattr(settings, field) != getattr(self.settings, field)
-        ]
-        self.log.write("reloaded", changed=changed)
+        }
+        applied = {
+            field: value
+            for field, value in changed.items()
+            if field in RELOADABLE_SETTINGS
+        }
+        self.settings = msgspec.structs.replace(self.settings, **applied)
+        self.apply_durations()
+        self.log.write(
+            "reloaded",
+            applied=applied,
+            needs_restart=sorted(changed.keys() - applied.keys()),
+        )
+
+    def apply_durations(self) -> None:
+        """Passes the durations in the settings on to the decision logic."""
+        raise NotImplementedError
 
     def dump(self) -> dict[str, Any]:
         """Returns the state of the process as JSON data."""
--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -280,8 +280,14 @@
                 key=self._key,
                 credentials=self._settings.peer_credentials,
             )
-        except errors.FetchError:
+        except errors.FetchError as error:
             self.counters["fetches_failed"] += 1
+            eliot.log_message(
+                "fetch_failed",
+                neighbour=address.ip,
+                reason=str(error),
+                cause=repr(error.__cause__) if error.__cause__ else None,
+            )
             return
         finally:
             self._fetching.discard(address)
--- a/sapphirelift/callers/client.py
+++ b/sapphirelift/callers/client.py
@@ -14,6 +14,7 @@
 from sapphirelift import clock
 from sapphirelift import errors
 from sapphirelift import messages
+from sapphirelift import tasks
 from sapphirelift.core.requests import caller
 from sapphirelift.core.requests import outcomes
 from sapphirelift.core.requests import retries
@@ -55,9 +56,9 @@
         self._unanswered_since_ms: int | None = None
         self.replaced_sockets = 0
         self._endpoint = self._open_endpoint()
-        self._ticker = eventlet.spawn(self._tick)
         self._pending_requests: dict[int, eventlet.event.Event] = {}
         self._pending_opens: dict[int, eventlet.event.Event] = {}
+        self._ticker = tasks.spawn("caller_tick", self._tick)
         self.owners: dict[int, str] = {}
         self.broken_flows = 0
         self.moved_flows = 0
--- a/sapphirelift/deployment.py
+++ b/sapphirelift/deployment.py
@@ -1,5 +1,6 @@
 """Settings of the packet daemon: a JSON file validated against types."""
 
+import ipaddress
 import pathlib
 from typing import Literal
 
@@ -78,9 +79,9 @@
         ValueError: The text does not have this form.
     """
     ip, _, port = text.rpartition(":")
-    if not ip:
+    if not (port.isascii() and port.isdecimal() and 0 < int(port) < 1 << 16):
         raise ValueError(f"not of the form IP:PORT: {text!r}")
-    return messages.Address(ip, int(port))
+    return messages.Address(str(ipaddress.IPv4Address(ip)), int(port))
 
 
 def load(path: str) -> Deployment:
--- a/sapphirelift/platform/http.py
+++ b/sapphirelift/platform/http.py
@@ -25,6 +25,7 @@
     """HTTP server that runs in a task of its own."""
 
     def __init__(self, address: tuple[str, int], name: str) -> None:
+        self._address = address
         self._listener = eventlet.listen(address)
         self._name = name
 
@@ -33,6 +34,10 @@
         tasks.spawn(self._name, self._serve)
 
     def _serve(self) -> None:
+        # The WSGI server closes the listener when accepting fails; this task
+        # is then started again.
+        if self._listener.fileno() < 0:
+            self._listener = eventlet.listen(self._address)
         eventlet.wsgi.server(self._listener, self.answer, log_output=False)
 
     def answer(
@@ -101,7 +106,11 @@
         return [b"{}"]
 
     def _handle_report(self, backend_id: str, environ: dict[str, Any]) -> str:
-        length = int(environ.get("CONTENT_LENGTH") or 0)
+        text = environ.get("CONTENT_LENGTH") or "0"
+        if not (text.isascii() and text.isdecimal()):
+            self._on_refused("the length of the body is not a number")
+            return "400 Bad Request"
+        length = int(text)
         if length > _MAX_REPORT_BYTES:
             self._on_refused("body too long for a report")
             return "413 Content Too Large"
--- a/sapphirelift/platform/store.py
+++ b/sapphirelift/platform/store.py
@@ -87,6 +87,14 @@
     spec: Any = None
 
 
+class _NamedMeta(msgspec.Struct):
+    name: str = msgspec.field(name="Name")
+
+
+class _Named(msgspec.Struct):
+    meta: _NamedMeta
+
+
 class _Listing(msgspec.Struct):
     # The revision of the whole store, not that of the newest item.
     revision: int = msgspec.field(name="CurrentRev")
@@ -172,9 +180,12 @@
             revision = page.revision if revision is None else revision
             found = self._decode_objects(page.items)
             objects.update((item.name, item) for item in found)
-            if not page.has_more or not found:
+            if not page.has_more:
                 return Listing(revision, list(objects.values()))
-            after = found[-1].name
+            last = self._last_name(page.items)
+            if last is None or last == after:
+                raise self._failure("list", "a page without a name to go on")
+            after = last
         raise self._failure("list", f"more than {MAX_LIST_PAGES} pages")
 
     def watch(
@@ -308,6 +319,15 @@
             found.append(_new_object(decoded))
         return found
 
+    def _last_name(self, items: list[msgspec.Raw]) -> str | None:
+        """Returns the name of the last item, malformed otherwise or not."""
+        for item in reversed(items):
+            try:
+                return msgspec.json.decode(item, type=_Named).meta.name
+            except (msgspec.MsgspecError, UnicodeDecodeError):
+                continue
+        return None
+
     def _decode_object(self, call: str, data: bytes) -> Object:
         return _new_object(self._decode(call, data, _Object))
 
--- a/sapphirelift/settings.py
+++ b/sapphirelift/settings.py
@@ -2,6 +2,7 @@
 
 import difflib
 import ipaddress
+import math
 import pathlib
 import re
 from collections.abc import Iterator
@@ -198,12 +199,21 @@
 def _backend_problems(
     backend: BackendSettings,
 ) -> Iterator[errors.SettingsError]:
-    for field in ("slots", "queue_requests", "reply_cache_ttl_ms"):
+    for field in (
+        "slots",
+        "max_flows",
+        "queue_requests",
+        "reply_cache_bytes",
+        "reply_cache_ttl_ms",
+        "assembly_bytes",
+    ):
         if getattr(backend, field) < 1:
             yield _problem(f"backend.{field}", "set it to 1 or more")
     for field in ("initial_share", "caller_slot_share"):
         if not 0.0 < getattr(backend, field) <= 1.0:
             yield _problem(f"backend.{field}", "set it above 0 and at most 1")
+    if not 0.0 <= backend.weight < math.inf:
+        yield _problem("backend.weight", "set it to 0 or a number above it")
     if backend.ramp_ms < 0:
         yield _problem("backend.ramp_ms", "set it to 0 or more milliseconds")
 
--- a/sapphirelift/wire.py
+++ b/sapphirelift/wire.py
@@ -139,7 +139,10 @@
     match body:
         case messages.OpenForward(caller, balancer, _, candidates):
             _check_addresses(caller, balancer, *candidates)
-        case messages.Heartbeat(ip=ip, port=port):
+        case (
+            messages.Heartbeat(ip=ip, port=port)
+            | messages.Load(ip=ip, port=port)
+        ):
             _check_addresses(messages.Address(ip, port))
         case messages.Plain():
             _check_addresses(
--- a/tests/test_l4_adapter.py
+++ b/tests/test_l4_adapter.py
@@ -236,6 +236,9 @@
         ("change", "field"),
         [
             ({"packets": "10.1.0.1"}, "packets"),
+            ({"packets": "host:80"}, "packets"),
+            ({"readiness": "10.1.0.1:99999"}, "readiness"),
+            ({"platform": "10.1.0.1:-1"}, "platform"),
             ({"internal_ports": [2, 1]}, "internal_ports"),
             ({"contact_ms": 0}, "contact_ms"),
             ({"role": "agent"}, "service"),
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -24,6 +24,12 @@
 }
 
 
+def _agent(**backend: Any) -> dict[str, Any]:
+    """Returns the settings of an agent with these backend settings."""
+    server = {"ip": "127.0.0.1", "port": 80, "service": "shop"}
+    return {"role": "agent", "backend": server | backend}
+
+
 class TestParse:
     """Validation of a settings file."""
 
@@ -41,6 +47,10 @@
             ({"admin": {"ip": "127.0.0.1", "port": 0}}, "admin.port"),
             ({"admin": {"ip": "127.0.0.1"}}, "port"),
             ({"name": "a/b"}, "name"),
+            (_agent(max_flows=0), "backend.max_flows"),
+            (_agent(weight=-1.0), "backend.weight"),
+            (_agent(reply_cache_bytes=0), "backend.reply_cache_bytes"),
+            (_agent(assembly_bytes=-1), "backend.assembly_bytes"),
         ],
     )
     def test_error_names_the_field(
