Watch a bounded number of agents and prefer the own data centre

Cause, measured in memory with 59 balancers and 136 agents: each agent sends 2.5 heartbeats a second to each balancer and gets as many answers, 40,120 datagrams and 2.15 MB a second in total; on the platform each answer lists 16 balancers on top.

Searches for an owner ask agents in the order in which new flows are placed. A late agent in use is asked for a heartbeat before it counts as lost. Heartbeats say for how long the agent has not heard the balancer, so that an agent which packets do not reach gets no new flows.

--- a/sapphirelift/_packet_agent.py
+++ b/sapphirelift/_packet_agent.py
@@ -13,12 +13,12 @@
 from sapphirelift.core.l4 import agent as agent_module
 from sapphirelift.core.l4 import agents
 from sapphirelift.core.l4 import backend
+from sapphirelift.core.l4 import heartbeats
 from sapphirelift.core.l4 import messages
 from sapphirelift.peers import datagrams
 from sapphirelift.platform import dispatch
 from sapphirelift.platform import http
 
-HEARTBEAT_INTERVAL_S = 0.4
 # Lets the balancers receive the announcement before the process exits.
 LINGER_S = 0.1
 
@@ -160,6 +160,7 @@
 
     def _send_heartbeats(self) -> None:
         while True:
-            eventlet.sleep(HEARTBEAT_INTERVAL_S * self.rng.uniform(0.9, 1.1))
+            round_s = heartbeats.ROUND_MS / 1000
+            eventlet.sleep(round_s * self.rng.uniform(0.9, 1.1))
             self.core.send_heartbeats(clock.now_ms())
             self.perform()
--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -60,6 +60,7 @@
             replica=settings.admin_address,
             now_ms=clock.now_ms(),
             rng=self.rng,
+            data_centre=settings.data_centre,
             contact_ms=round(settings.contact_ms),
         )
         self._replica_state: dict[str, Any] = {}
@@ -132,6 +133,7 @@
             "evacuations_revision": self.core.evacuations.revision,
             "evacuated": sorted(self.core.evacuations.data_centres),
             "peers": len(self.core.peers),
+            "watched_agents": len(self.core.watch),
             "agents": {
                 agent.name: agent.heartbeat._asdict()
                 | {"heard_ms_ago": now_ms - agent.last_heard_ms}
@@ -216,7 +218,7 @@
                 self._notify_daemons()
 
     def _notify_daemons(self) -> None:
-        self.core.acknowledge_all()
+        self.core.acknowledge_watched()
         self.core.gossip(clock.now_ms())
         self.perform()
 
--- a/sapphirelift/_packet_node.py
+++ b/sapphirelift/_packet_node.py
@@ -86,6 +86,9 @@
             f"http://{settings.platform}", name=settings.name
         )
         self.drops: dict[str, int] = {}
+        self._sent_datagrams: collections.Counter[str] = collections.Counter()
+        self._sent_bytes: collections.Counter[str] = collections.Counter()
+        self._received: collections.Counter[str] = collections.Counter()
         self._drop_logged_ms: dict[str, int] = {}
         self._caller_port = deployment.address(settings.packets).port
         self._is_ticking = False
@@ -194,6 +197,9 @@
             "incarnation": self.incarnation,
             "counters": dict(self.core.counters),
             "drops": dict(self.drops),
+            "peer_datagrams_sent_by_kind": dict(self._sent_datagrams),
+            "peer_sent_bytes_by_kind": dict(self._sent_bytes),
+            "peer_received_by_kind": dict(self._received),
             "platform_calls_by_kind": dict(self.store.calls),
             "platform_failures": dict(self.store.failures),
             "log_lines_dropped": self.log.dropped,
@@ -217,6 +223,7 @@
     def _on_daemon_datagram(self, data: bytes, source: tuple[str, int]) -> None:
         try:
             message = messages.decode(data)
+            self._received[type(message).__name__] += 1
             self.on_message(message, messages.Address(*source[:2]))
         except errors.DatagramError as error:
             self.drop(error.reason, source[0])
@@ -243,7 +250,11 @@
     def _perform_action(self, action: actions.Action) -> None:
         match action:
             case actions.SendDaemon(address, message):
-                self.daemon_socket.send(messages.encode(message), address)
+                data = messages.encode(message)
+                kind = type(message).__name__
+                self._sent_datagrams[kind] += 1
+                self._sent_bytes[kind] += len(data)
+                self.daemon_socket.send(data, address)
             case actions.SendCaller(received):
                 caller_ip = packet.ip_text(received.flow.caller_ip)
                 self.daemon_socket.send(
--- a/sapphirelift/bench/packet_capacity.py
+++ b/sapphirelift/bench/packet_capacity.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from sapphirelift.core.l4 import flow_table
+from sapphirelift.core.l4 import heartbeats
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
 from sapphirelift.platform import packets
@@ -27,8 +28,8 @@
     balancer = network.add_balancer()
     network.run(1000)
     sent: dict[str, int] = {}
-    host.agent.send_heartbeats(network.now_ms)
-    balancer.core.acknowledge_all()
+    host.agent.send_heartbeats(network.now_ms + heartbeats.MIN_INTERVAL_MS)
+    balancer.core.acknowledge_watched()
     balancer.core.add_peer(messages.Address("10.9.0.1", 1), network.now_ms)
     for core in (host.core, balancer.core):
         for action in core.drain_actions():
--- a/sapphirelift/bench/placement.py
+++ b/sapphirelift/bench/placement.py
@@ -25,21 +25,31 @@
 
 
 def rendezvous(
-    flow: packet.FlowKey, candidates: list[agents.KnownAgent], *, count: int = 4
+    flow: packet.FlowKey,
+    candidates: list[agents.KnownAgent],
+    *,
+    count: int = 4,
+    data_centre: str = "",
 ) -> list[agents.KnownAgent]:
     """Ranks candidates by weighted rendezvous hashing only."""
+    del data_centre
     return routing.candidates(
         repr(tuple(flow)).encode(), candidates, count=count
     )
 
 
 def two_choices(
-    flow: packet.FlowKey, candidates: list[agents.KnownAgent], *, count: int = 4
+    flow: packet.FlowKey,
+    candidates: list[agents.KnownAgent],
+    *,
+    count: int = 4,
+    data_centre: str = "",
 ) -> list[agents.KnownAgent]:
     """Ranks the first two candidates by load, as in power of two choices.
 
     The candidates are ordered by rendezvous hashing before that.
     """
+    del data_centre
     first = rendezvous(flow, candidates, count=count)
     return [*_least_work(flow, first[:2]), *first[2:]]
 
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -11,6 +11,7 @@
 from sapphirelift.core.l4 import agents
 from sapphirelift.core.l4 import backend as backend_module
 from sapphirelift.core.l4 import flow_table
+from sapphirelift.core.l4 import heartbeats
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import samples
@@ -41,12 +42,6 @@
 RESPONSE_SMOOTHING = 0.1
 # Time constant of the moving average of requests in progress.
 ACTIVE_REQUESTS_AVERAGE_MS = 1000
-MAX_BALANCERS = 1024
-# A balancer that has been silent for SILENT_BALANCER_MS gets a heartbeat only
-# in each SILENT_BALANCER_ROUNDS-th round, and none after FORGET_BALANCER_MS.
-SILENT_BALANCER_MS = 3000
-FORGET_BALANCER_MS = 60_000
-SILENT_BALANCER_ROUNDS = 4
 # An agent and its backend server start together. A backend server that started
 # earlier than this before the agent may have flows opened through an earlier
 # incarnation of the agent.
@@ -71,7 +66,7 @@
         identity: Name, address and location.
         backend: State of the backend server on the same instance.
         flows: Flow table.
-        balancers: Known balancers and when each was last heard.
+        balancers: Known balancers and when each gets its next heartbeat.
         counters: Event counts by name.
         samples: Latencies for histograms: of accepted openings, and from a
             request to its answer.
@@ -101,7 +96,7 @@
             report_interval_ms=report_interval_ms
         )
         self.flows = flow_table.FlowTable()
-        self.balancers: dict[messages.Address, int] = {}
+        self.balancers = heartbeats.Schedule()
         self.counters: collections.Counter[str] = collections.Counter()
         self.samples = samples.Samples("backend_accept", "response")
         self._report_interval_ms = report_interval_ms
@@ -113,7 +108,6 @@
         self._configuration_revision = 0
         self._max_flows = 0
         self._idle_timeout_ms = 15_000
-        self._heartbeat_rounds = 0
         self._heartbeat_number = 0
         self._unanswered_opens = 0
         self._unresponsive_until_ms = 0
@@ -260,7 +254,8 @@
             report_number=report.number if report is not None else None,
         )
         self._state = state
-        self.send_heartbeats(now_ms)
+        for address in self.balancers.all():
+            self._send_heartbeat(address, now_ms)
 
     def leave(self, now_ms: int) -> None:
         """Announces that the agent is about to stop."""
@@ -717,23 +712,28 @@
         Returns:
             Whether it has been added.
         """
-        if address in self.balancers or len(self.balancers) >= MAX_BALANCERS:
+        if not self.balancers.add(address, now_ms):
             return False
-        self.balancers[address] = now_ms
         self._log("balancer_found", ip=address.ip)
         self._send_heartbeat(address, now_ms)
         return True
 
     def on_hello(self, hello: messages.Hello, now_ms: int) -> None:
         """Answers the hello of a balancer with a heartbeat."""
-        if not self.add_balancer(hello.balancer, now_ms):
-            self.balancers[hello.balancer] = now_ms
+        is_new = self.add_balancer(hello.balancer, now_ms)
+        self.balancers.on_heard(
+            hello.balancer, now_ms, interval_ms=hello.interval_ms
+        )
+        if not is_new:
             self._send_heartbeat(hello.balancer, now_ms)
 
     def on_ack(self, ack: messages.HeartbeatAck, now_ms: int) -> None:
         """Applies the values in force at a balancer if they are newer."""
         # A leaving balancer is kept: it comes back at the same address.
-        self.balancers[ack.balancer] = now_ms
+        self.balancers.add(ack.balancer, now_ms)
+        self.balancers.on_heard(
+            ack.balancer, now_ms, interval_ms=ack.interval_ms
+        )
         for address in ack.balancers:
             self.add_balancer(address, now_ms)
         if ack.configuration_revision > self._configuration_revision:
@@ -767,27 +767,24 @@
 
     def has_heard_balancer(self, now_ms: int) -> bool:
         """Returns whether any balancer has been heard recently."""
-        return any(
-            now_ms - last_heard_ms <= SILENT_BALANCER_MS
-            for last_heard_ms in self.balancers.values()
-        )
+        return self.balancers.has_heard_any(now_ms)
 
     def send_heartbeats(self, now_ms: int) -> None:
-        """Sends heartbeats to all balancers, less often to silent ones."""
-        self._heartbeat_rounds += 1
-        for address, last_heard_ms in list(self.balancers.items()):
-            silent_ms = now_ms - last_heard_ms
-            if silent_ms > FORGET_BALANCER_MS:
-                del self.balancers[address]
-                self._log("balancer_forgotten", ip=address.ip)
-            elif (
-                silent_ms <= SILENT_BALANCER_MS
-                or self._heartbeat_rounds % SILENT_BALANCER_ROUNDS == 0
-            ):
-                self._send_heartbeat(address, now_ms)
+        """Sends the heartbeats that are due.
+
+        To be called every ``heartbeats.ROUND_MS``.
+        """
+        for address in self.balancers.forget_lost(now_ms):
+            self._log("balancer_forgotten", ip=address.ip)
+        for address in self.balancers.due(now_ms):
+            self._send_heartbeat(address, now_ms)
 
     def _send_heartbeat(self, address: messages.Address, now_ms: int) -> None:
-        self._send(address, self.heartbeat(now_ms))
+        heartbeat = self.heartbeat(now_ms)._replace(
+            unheard_ms=self.balancers.unheard_ms(address, now_ms),
+        )
+        self.balancers.on_sent(address, now_ms)
+        self._send(address, heartbeat)
 
     def heartbeat(self, now_ms: int) -> messages.Heartbeat:
         """Returns a heartbeat with the next number and the current state."""
--- a/sapphirelift/core/l4/agents.py
+++ b/sapphirelift/core/l4/agents.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
+from sapphirelift.core.l4 import heartbeats
 from sapphirelift.core.l4 import messages
 
 READY = "ready"
@@ -16,15 +17,23 @@
 GONE = "gone"
 
 # An agent counts as suspect after three missed heartbeats in a row, which are
-# sent every 400 ms.
+# sent every 400 ms. At longer intervals it does so after as many of them, or
+# if it has not answered a hello.
 SUSPECT_AFTER_MS = 1300
-# A silent agent counts as lost after this time. A killed process is back within
-# about 2 s, and callers give up on requests after 1.2 s or more, so waiting
-# longer has no benefit.
+SUSPECT_AFTER_INTERVALS = 3.25
+UNANSWERED_HELLO_MS = 500
+# A silent agent counts as lost after this time, if it has been asked for a
+# heartbeat meanwhile. A killed process is back within about 2 s, and callers
+# give up on requests after 1.2 s or more, so waiting longer has no benefit.
 LOST_AFTER_MS = 2500
+LOST_AFTER_HELLO_MS = 1200
+# An agent that is in use, and whose heartbeat is late by a quarter of its
+# interval and this much, is asked for one.
+LATE_MS = 200
+LATE_INTERVALS = 1.25
 # An agent that has not answered an opening packet gets no new flows for this
-# long, unless it sends a heartbeat.
-UNANSWERED_OPEN_MS = 500
+# long, unless it is heard.
+UNANSWERED_OPEN_MS = 3000
 # Silent agents are forgotten after this time. Their flows may live for up to
 # 60 s by the platform's bounds, so balancers send them hellos until then.
 FORGET_AFTER_MS = 60_000
@@ -44,6 +53,10 @@
             newest heartbeat.
         unanswered_ms: When an opening packet last timed out, None if none has
             since the newest heartbeat or answer.
+        asked_ms: When the agent was first asked for a sign of life since it
+            was last heard; None if it has not been asked.
+        used_ms: When a packet was last forwarded to it; 0 if none has been.
+        interval_ms: Interval at which it has been asked for heartbeats.
     """
 
     heartbeat: messages.Heartbeat
@@ -51,6 +64,9 @@
     flows: int = 0
     opens_since: int = 0
     unanswered_ms: int | None = None
+    asked_ms: int | None = None
+    used_ms: int = 0
+    interval_ms: int = heartbeats.MIN_INTERVAL_MS
 
     @property
     def name(self) -> str:
@@ -74,7 +90,42 @@
 
     def is_alive(self, now_ms: int) -> bool:
         """Returns whether heartbeats have been received recently."""
-        return now_ms - self.last_heard_ms <= SUSPECT_AFTER_MS
+        silent_ms = now_ms - self.last_heard_ms
+        if silent_ms <= SUSPECT_AFTER_MS:
+            return True
+        limit_ms = SUSPECT_AFTER_INTERVALS * self.interval_ms
+        return silent_ms <= limit_ms and not self._is_unanswered_for(
+            UNANSWERED_HELLO_MS, now_ms
+        )
+
+    def is_late(self, now_ms: int) -> bool:
+        """Returns whether a heartbeat is overdue."""
+        limit_ms = LATE_INTERVALS * self.interval_ms + LATE_MS
+        return now_ms - self.last_heard_ms > limit_ms
+
+    def _is_unanswered_for(self, duration_ms: int, now_ms: int) -> bool:
+        return (
+            self.asked_ms is not None and now_ms - self.asked_ms > duration_ms
+        )
+
+    def on_asked(self, now_ms: int) -> None:
+        """Records that the agent has been asked for a sign of life."""
+        if self.asked_ms is None:
+            self.asked_ms = now_ms
+
+    def on_heard(self, now_ms: int) -> None:
+        """Records a sign of life."""
+        self.last_heard_ms = now_ms
+        self.unanswered_ms = None
+        self.asked_ms = None
+
+    def hears_balancer(self) -> bool:
+        """Returns whether packets of the balancer reach the agent."""
+        limit_ms = max(
+            SUSPECT_AFTER_MS,
+            SUSPECT_AFTER_INTERVALS * self.interval_ms,
+        )
+        return self.heartbeat.unheard_ms <= limit_ms
 
     def may_own(self, now_ms: int, *, contact_ms: int) -> bool:
         """Returns whether the agent may own a flow without a known owner.
@@ -94,13 +145,16 @@
             case "leaving":
                 return silent_ms <= contact_ms
             case _:
-                return silent_ms <= LOST_AFTER_MS
+                return silent_ms <= LOST_AFTER_MS or not (
+                    self._is_unanswered_for(LOST_AFTER_HELLO_MS, now_ms)
+                )
 
     def may_open(self, now_ms: int) -> bool:
         """Returns whether the agent may be given new flows."""
         return (
             self.heartbeat.state == READY
             and self.is_alive(now_ms)
+            and self.hears_balancer()
             and (
                 self.unanswered_ms is None
                 or now_ms - self.unanswered_ms > UNANSWERED_OPEN_MS
@@ -125,6 +179,10 @@
         """Returns the agent at an address, or None."""
         return self._by_address.get(address)
 
+    def services(self) -> list[str]:
+        """Returns the services of all agents."""
+        return list(self._by_service)
+
     def of_services(self, services: Iterable[str]) -> list[KnownAgent]:
         """Returns all agents of the given services, including silent ones."""
         found: list[KnownAgent] = []
@@ -153,22 +211,15 @@
             newest.number,
         ):
             return known
-        previous = KnownAgent(
-            newest,
-            known.last_heard_ms,
-            known.flows,
-            known.opens_since,
-            known.unanswered_ms,
-        )
+        previous = dataclasses.replace(known)
         if heartbeat.service != newest.service:
             self.remove(heartbeat.address)
             self._add(KnownAgent(heartbeat, now_ms, heartbeat.flows))
             return previous
         known.heartbeat = heartbeat
-        known.last_heard_ms = now_ms
         known.flows = heartbeat.flows
         known.opens_since = 0
-        known.unanswered_ms = None
+        known.on_heard(now_ms)
         return previous
 
     def forget_silent(self, now_ms: int) -> list[KnownAgent]:
@@ -190,4 +241,7 @@
     def remove(self, address: messages.Address) -> None:
         """Removes an agent that is in the table."""
         agent = self._by_address.pop(address)
-        del self._by_service[agent.heartbeat.service][address]
+        service = self._by_service[agent.heartbeat.service]
+        del service[address]
+        if not service:
+            del self._by_service[agent.heartbeat.service]
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -17,6 +17,7 @@
 from sapphirelift.core.l4 import placement
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
+from sapphirelift.core.l4 import watch as watch_module
 
 # Time an agent has to answer an opening packet, which it does once its backend
 # server has accepted the flow. Longer than the time after which an agent passes
@@ -36,10 +37,12 @@
 # Maximum number of agents asked about one flow. If there are more, a failed
 # search does not prove that the flow has ended.
 MAX_ASKED_AGENTS = 256
-# Maximum number of other balancers listed in a heartbeat acknowledgement.
-MAX_LISTED_BALANCERS = 16
+# Number of other balancers listed in an acknowledgement: to an agent that has
+# just started, and to others, which learn of missed balancers one by one.
+LISTED_TO_NEW_AGENT = 16
+LISTED_TO_KNOWN_AGENT = 1
 # Maximum number of agents listed in a message to a peer.
-MAX_LISTED_AGENTS = 8
+MAX_LISTED_AGENTS = 2
 # Number of peers and of silent agents contacted in a gossip round. With a round
 # every 500 ms, a change reaches 840 balancers in 5 rounds.
 GOSSIP_PEERS = 3
@@ -115,6 +118,7 @@
         has_directory: Whether the addresses of all daemons are known, so
             that a flow without an owner among the agents does not exist.
         peers: Other balancers and when each was last heard.
+        watch: Agents from which the balancer hears often.
         contact_ms: Time without messages after which an instance that has
             announced a stop, or has never been heard, counts as lost.
     """
@@ -126,6 +130,7 @@
         replica: messages.Address,
         now_ms: int,
         rng: random.Random,
+        data_centre: str = "",
         contact_ms: int = 4000,
     ) -> None:
         """Creates a balancer that knows no other daemons.
@@ -135,6 +140,8 @@
             replica: Address at which it serves its configuration.
             now_ms: Current time.
             rng: Random number generator for choosing gossip targets.
+            data_centre: Its data centre, whose agents are preferred; empty
+                for no preference.
             contact_ms: See the attribute.
         """
         self.configuration = routes.Configuration()
@@ -148,6 +155,8 @@
         self._address = address
         self._replica = replica
         self._rng = rng
+        self._data_centre = data_centre
+        self.watch = watch_module.Watch(own=address, data_centre=data_centre)
         self.contact_ms = contact_ms
         self._departed_agents: dict[messages.Address, _DepartedAgent] = {}
         self._unconfirmed_agents: dict[messages.Address, int] = {}
@@ -220,6 +229,7 @@
         if evacuations.revision <= current.revision:
             return False
         self.evacuations = evacuations
+        self.watch.invalidate()
         if (
             evacuations.data_centres != current.data_centres
             or not current.revision
@@ -274,7 +284,10 @@
             evacuated=self.evacuations.data_centres,
             now_ms=now_ms,
         )
-        ranked = placement.rank(flow, found)
+        watched = [a for a in found if self.watch.includes(a.address)]
+        ranked = placement.rank(
+            flow, watched or found, data_centre=self._data_centre
+        )
         if not ranked:
             if now_ms - self._started_ms < SETTLE_MS:
                 self.counters["opens_dropped_settling"] += 1
@@ -312,7 +325,8 @@
             opens_since=best.opens_since,
             busy=round(best.heartbeat.busy, 2),
             load_age_ms=now_ms - best.last_heard_ms,
-            choices=len(found),
+            is_local=best.heartbeat.data_centre == self._data_centre,
+            choices=len(watched) or len(found),
             configuration_revision=self.configuration.revision,
         )
         self._send_open(opening)
@@ -362,6 +376,7 @@
         silent = self.agents.get(opening.candidates[opening.index])
         if silent is not None:
             silent.unanswered_ms = now_ms
+            self._ask_for_heartbeat(silent, now_ms)
         self.counters["opens_unanswered"] += 1
         self._log(
             "open_unanswered",
@@ -401,7 +416,7 @@
         if owner is not None:
             self._owners.move_to_end(flow)
             self._resolve_alternative(owner, received)
-            self._deliver(owner.address, received)
+            self._deliver_to_owner(owner.address, received, now_ms)
             return
         opening = self._openings.get(flow)
         if opening is not None:
@@ -437,6 +452,16 @@
         message = messages.Deliver(self._address, received.raw)
         self._actions.append(actions.SendDaemon(address, message))
 
+    def _deliver_to_owner(
+        self, address: messages.Address, received: packet.Packet, now_ms: int
+    ) -> None:
+        agent = self.agents.get(address)
+        if agent is not None:
+            if not agent.used_ms and not self.watch.includes(address):
+                self.watch.invalidate()
+            agent.used_ms = now_ms
+        self._deliver(address, received)
+
     def _reset(self, received: packet.Packet) -> None:
         if not received.is_reset:
             self._actions.append(
@@ -459,42 +484,59 @@
             self.counters["packets_dropped_no_route"] += 1
             return
         self._apply_lookup_steps(
+            now_ms,
             self._lookups.begin(
                 received,
-                self._possible_owners(route, now_ms),
+                self._possible_owners(received.flow, route, now_ms),
                 now_ms,
                 without=without,
                 knows_all_agents=self.has_directory,
-            )
+            ),
         )
 
     def _possible_owners(
-        self, route: routes.Route, now_ms: int
+        self, flow: packet.FlowKey, route: routes.Route, now_ms: int
     ) -> list[messages.Address]:
         """Returns the agents that may own a flow of a route, likeliest first.
 
+        The order is that in which balancers of this data centre compare the
+        agents for a new flow, so that the owner is usually among the first.
         Agents of other services are included, but come last: an earlier
         configuration may have routed the flow to any service.
         """
         services = set(route.services)
-        likely: list[messages.Address] = []
+        local: list[agents.KnownAgent] = []
+        remote: list[agents.KnownAgent] = []
         others: list[messages.Address] = []
         for agent in self.agents:
-            if agent.may_own(now_ms, contact_ms=self.contact_ms):
-                is_likely = agent.heartbeat.service in services
-                (likely if is_likely else others).append(agent.address)
+            if not agent.may_own(now_ms, contact_ms=self.contact_ms):
+                continue
+            if agent.heartbeat.service not in services:
+                others.append(agent.address)
+            elif self.watch.is_local(agent):
+                local.append(agent)
+            else:
+                remote.append(agent)
         others += [
             address
             for address, found_ms in self._unconfirmed_agents.items()
             if now_ms - found_ms <= self.contact_ms
         ]
+        likely = [
+            agent.address
+            for known in (local, remote)
+            for agent in placement.in_hash_order(flow, known)
+        ]
         return [*likely, *others][:MAX_ASKED_AGENTS]
 
-    def _apply_lookup_steps(self, steps: list[lookup.Step]) -> None:
+    def _apply_lookup_steps(
+        self, now_ms: int, steps: list[lookup.Step]
+    ) -> None:
         for step in steps:
             match step:
                 case lookup.SendAsk(address, flow):
                     self.counters["asks"] += 1
+                    self._record_question(address, now_ms)
                     self._actions.append(
                         actions.SendDaemon(address, messages.Ask(flow))
                     )
@@ -515,6 +557,12 @@
                 case lookup.NoOwner():
                     self._on_no_owner(step)
 
+    def _record_question(self, address: messages.Address, now_ms: int) -> None:
+        """Takes a question about a flow as one for a sign of life."""
+        agent = self.agents.get(address)
+        if agent is not None and agent.is_late(now_ms):
+            agent.on_asked(now_ms)
+
     def _on_no_owner(self, found: lookup.NoOwner) -> None:
         # ``has_directory`` may have become true during the search, so that
         # only the value at its beginning counts.
@@ -558,8 +606,9 @@
             case messages.Refused():
                 self._on_refused(message, now_ms)
             case messages.Answer():
+                self._on_heard(message.agent, now_ms)
                 self._apply_lookup_steps(
-                    self._lookups.on_answer(message, now_ms)
+                    now_ms, self._lookups.on_answer(message, now_ms)
                 )
             case messages.Missed():
                 # The I/O layer decodes the packet and calls ``on_missed``.
@@ -571,11 +620,16 @@
             case _:
                 self.counters["dropped_unexpected_kind"] += 1
 
+    def _on_heard(self, address: messages.Address, now_ms: int) -> None:
+        agent = self.agents.get(address)
+        if agent is not None:
+            agent.on_heard(now_ms)
+
     def _on_opened(self, opened: messages.Opened, now_ms: int) -> None:
         flow = opened.flow
         agent = self.agents.get(opened.agent)
         if agent is not None:
-            agent.unanswered_ms = None
+            agent.on_heard(now_ms)
             agent.flows = opened.flows
             agent.opens_since = max(agent.opens_since - 1, 0)
         opening = self._openings.pop(flow, None)
@@ -663,7 +717,7 @@
             return
         if self._lookups.is_probing(flow):
             self._apply_lookup_steps(
-                self._lookups.on_missed(flow, agent, received, now_ms)
+                now_ms, self._lookups.on_missed(flow, agent, received, now_ms)
             )
             return
         self._look_up(received, now_ms, without=agent)
@@ -683,7 +737,14 @@
         known = self.agents.get(heartbeat.address)
         if known is not None and known.heartbeat is heartbeat:
             self._log_agent_change(previous, known, now_ms)
-        self._acknowledge(heartbeat)
+        is_new = (
+            previous is None
+            or previous.heartbeat.incarnation != heartbeat.incarnation
+        )
+        self._acknowledge(
+            heartbeat,
+            listed=LISTED_TO_NEW_AGENT if is_new else LISTED_TO_KNOWN_AGENT,
+        )
 
     def _on_gone(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
         """Removes an agent that stops together with its backend server."""
@@ -697,6 +758,7 @@
             and known.heartbeat.incarnation <= heartbeat.incarnation
         ):
             self.agents.remove(heartbeat.address)
+            self.watch.invalidate()
             self._log(
                 "agent_gone",
                 agent=heartbeat.name,
@@ -711,6 +773,7 @@
     ) -> None:
         heartbeat = agent.heartbeat
         if previous is None:
+            self.watch.invalidate()
             self._log(
                 "agent_found",
                 agent=heartbeat.name,
@@ -724,6 +787,7 @@
             or previous.heartbeat.incarnation != heartbeat.incarnation
             or not previous.is_alive(now_ms)
         ):
+            self.watch.invalidate()
             self._log(
                 "agent_changed",
                 agent=heartbeat.name,
@@ -734,11 +798,17 @@
                 silent_ms=now_ms - previous.last_heard_ms,
             )
 
-    def _acknowledge(self, heartbeat: messages.Heartbeat) -> None:
+    def _acknowledge(
+        self, heartbeat: messages.Heartbeat, *, listed: int = 0
+    ) -> None:
+        """Acknowledges a heartbeat, listing some other balancers."""
         service = self.configuration.services.get(heartbeat.service)
+        peers = tuple(self.peers)
+        if len(peers) > listed:
+            peers = tuple(self._rng.sample(peers, listed))
         ack = messages.HeartbeatAck(
             balancer=self._address,
-            balancers=tuple(self.peers)[:MAX_LISTED_BALANCERS],
+            balancers=peers,
             configuration_revision=(
                 self.configuration.revision if service is not None else 0
             ),
@@ -750,6 +820,7 @@
             ),
             evacuations_revision=self.evacuations.revision,
             is_leaving=self.is_leaving,
+            interval_ms=self._choose_interval_ms(heartbeat.address),
         )
         self._actions.append(actions.SendDaemon(heartbeat.address, ack))
 
@@ -784,9 +855,20 @@
         ]
 
     def _send_hello(self, address: messages.Address) -> None:
-        self._actions.append(
-            actions.SendDaemon(address, messages.Hello(self._address))
-        )
+        hello = messages.Hello(self._address, self._choose_interval_ms(address))
+        self._actions.append(actions.SendDaemon(address, hello))
+
+    def _choose_interval_ms(self, address: messages.Address) -> int:
+        """Returns and records the interval to ask an agent for."""
+        interval_ms = self.watch.interval_ms(address)
+        agent = self.agents.get(address)
+        if agent is not None:
+            agent.interval_ms = interval_ms
+        return interval_ms
+
+    def _ask_for_heartbeat(self, agent: agents.KnownAgent, now_ms: int) -> None:
+        agent.on_asked(now_ms)
+        self._send_hello(agent.address)
 
     def _on_revisions(self, revisions: messages.Revisions, now_ms: int) -> None:
         sender = revisions.balancer
@@ -833,7 +915,7 @@
         self._actions.append(actions.SendDaemon(address, message))
 
     def gossip(self, now_ms: int) -> None:
-        """Exchanges revisions with some peers, and greets silent agents.
+        """Exchanges revisions with some peers, and asks late agents.
 
         To be called every 500 ms.
         """
@@ -849,24 +931,51 @@
             addresses.append(self._rng.choice(silent_peers))
         for address in addresses:
             self._send_revisions(address, is_reply=False)
-        silent_agents = [
-            agent.address for agent in self.agents if not agent.is_alive(now_ms)
-        ]
-        silent_agents += self._unconfirmed_agents
-        if len(silent_agents) > GOSSIP_HELLOS:
-            silent_agents = self._rng.sample(silent_agents, GOSSIP_HELLOS)
-        for address in silent_agents:
+        self._ask_late_agents(now_ms)
+        added = self.watch.update(
+            self.agents,
+            evacuated=self.evacuations.data_centres,
+            now_ms=now_ms,
+        )
+        for address in added:
             self._send_hello(address)
 
-    def acknowledge_all(self) -> None:
-        """Sends the configuration and evacuations in force to all agents."""
+    def _ask_late_agents(self, now_ms: int) -> None:
+        """Asks late agents for a heartbeat: all that matter, some others."""
+        others: list[messages.Address] = []
+        for agent in self.agents:
+            if not agent.is_late(now_ms):
+                continue
+            if self.watch.includes(agent.address) and agent.may_own(
+                now_ms, contact_ms=self.contact_ms
+            ):
+                self._ask_for_heartbeat(agent, now_ms)
+                if not agent.is_alive(now_ms):
+                    self.watch.invalidate()
+            else:
+                others.append(agent.address)
+        others += self._unconfirmed_agents
+        if len(others) > GOSSIP_HELLOS:
+            others = self._rng.sample(others, GOSSIP_HELLOS)
+        for address in others:
+            agent_or_none = self.agents.get(address)
+            if agent_or_none is not None:
+                agent_or_none.on_asked(now_ms)
+            self._send_hello(address)
+
+    def acknowledge_watched(self) -> None:
+        """Sends what is in force to the watched agents.
+
+        Each agent is watched by several balancers.
+        """
         for agent in self.agents:
-            self._acknowledge(agent.heartbeat)
+            if self.watch.includes(agent.address):
+                self._acknowledge(agent.heartbeat)
 
     def leave(self) -> None:
         """Announces that the balancer is about to stop."""
         self.is_leaving = True
-        self.acknowledge_all()
+        self.acknowledge_watched()
 
     # Timers.
 
@@ -887,7 +996,7 @@
                 )
             elif opening.is_overdue(now_ms):
                 self._try_next_candidate(flow, opening, now_ms)
-        self._apply_lookup_steps(self._lookups.tick(now_ms))
+        self._apply_lookup_steps(now_ms, self._lookups.tick(now_ms))
 
     def sweep(self, now_ms: int) -> None:
         """Removes expired entries; to be called every second."""
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -158,6 +158,8 @@
         cold_ms: Time until the backend server is warm.
         has_full_table: Whether the agent knows all flows of its backend
             server.
+        unheard_ms: Time since the agent last heard this balancer. It grows
+            if packets pass only from the agent to the balancer.
     """
 
     name: str
@@ -174,6 +176,7 @@
     response_ms: float
     cold_ms: int
     has_full_table: bool
+    unheard_ms: int = 0
 
 
 class HeartbeatAck(NamedTuple):
@@ -186,6 +189,8 @@
         is_evacuated: Whether the agent's data centre is evacuated.
         evacuations_revision: Revision of ``is_evacuated``; 0 for unknown.
         is_leaving: Whether the balancer is about to stop.
+        interval_ms: Interval at which it asks for heartbeats; 0 to leave it
+            as it is.
     """
 
     balancer: Address
@@ -197,12 +202,20 @@
     is_evacuated: bool
     evacuations_revision: int
     is_leaving: bool
+    interval_ms: int = 0
 
 
 class Hello(NamedTuple):
-    """Introduces a balancer to an agent, which answers with a heartbeat."""
+    """Asks an agent for a heartbeat at once.
+
+    Attributes:
+        balancer: The sender.
+        interval_ms: Interval at which it asks for further heartbeats; 0 to
+            leave it as it is.
+    """
 
     balancer: Address
+    interval_ms: int = 0
 
 
 class Revisions(NamedTuple):
--- a/sapphirelift/operators/metrics.py
+++ b/sapphirelift/operators/metrics.py
@@ -74,6 +74,11 @@
         "kind",
         "Bytes of datagrams sent to other daemons.",
     ),
+    "peer_datagrams_sent_by_kind": (
+        "peer_datagrams_sent",
+        "kind",
+        "Datagrams sent to other daemons.",
+    ),
     "peer_received_by_kind": (
         "peer_datagrams_received",
         "kind",
--- a/sapphirelift/standins/packet_network.py
+++ b/sapphirelift/standins/packet_network.py
@@ -15,6 +15,7 @@
 from sapphirelift.core.l4 import agent as agent_module
 from sapphirelift.core.l4 import backend as backend_module
 from sapphirelift.core.l4 import balancer as balancer_module
+from sapphirelift.core.l4 import heartbeats
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import routes
@@ -24,7 +25,6 @@
 
 PORT = 7720
 REPORT_INTERVAL_MS = 1000
-HEARTBEAT_MS = 400
 TICK_MS = 20
 GOSSIP_MS = 500
 ROUTE_IP = packets.ip_number("198.18.0.1")
@@ -168,7 +168,9 @@
 class BalancerHost:
     """Simulated instance with a balancer."""
 
-    def __init__(self, network: "Network", ip: str) -> None:
+    def __init__(
+        self, network: "Network", ip: str, *, data_centre: str = ""
+    ) -> None:
         self.address = messages.Address(ip, PORT)
         self.is_up = True
         self.is_cut = False
@@ -177,6 +179,7 @@
             replica=messages.Address(ip, PORT + 1),
             now_ms=network.now_ms,
             rng=network.rng,
+            data_centre=data_centre,
         )
         self._network = network
         self.core.set_configuration(
@@ -238,7 +241,7 @@
         self._event_numbers = itertools.count()
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._ports = itertools.count(1024)
-        self._repeat_every(HEARTBEAT_MS, self._send_heartbeats)
+        self._repeat_every(heartbeats.ROUND_MS, self._send_heartbeats)
         self._repeat_every(REPORT_INTERVAL_MS, self._send_reports)
         self._repeat_every(TICK_MS, self._tick)
         self._repeat_every(GOSSIP_MS, self._gossip)
@@ -246,10 +249,12 @@
 
     # Setup.
 
-    def add_balancer(self, ip: str = "") -> BalancerHost:
+    def add_balancer(
+        self, ip: str = "", *, data_centre: str = ""
+    ) -> BalancerHost:
         """Starts a balancer and adds it to the rotation."""
         ip = ip or f"10.1.0.{len(self.balancers) + 1}"
-        host = BalancerHost(self, ip)
+        host = BalancerHost(self, ip, data_centre=data_centre)
         self.balancers[ip] = host
         if ip not in self.rotation:
             self.rotation.append(ip)
@@ -287,7 +292,7 @@
         self.configuration = changed
         for host in self.balancers.values():
             host.core.set_configuration(changed, self.now_ms, source="store")
-            host.core.acknowledge_all()
+            host.core.acknowledge_watched()
             self.perform(host)
 
     def evacuate(self, *data_centres: str) -> None:
@@ -298,7 +303,7 @@
         )
         for host in self.balancers.values():
             host.core.set_evacuations(self.evacuations, source="store")
-            host.core.acknowledge_all()
+            host.core.acknowledge_watched()
             self.perform(host)
 
     def next_incarnation(self) -> int:
