Take no new flows after a pause before others have answered

Cause, found by reading: the monotonic clock stands still while an instance is suspended, so that a daemon that wakes acts on openings and on a configuration from before the pause; an agent could take a flow in a data centre that had been evacuated meanwhile. An agent that stops kept the openings that it held, and their callers waited for 0.7 s. Addresses in messages between packet daemons were not checked, and a host name would be looked up.

Change: daemons compare observations of the boot-time clock. After a gap of 1.5 s an agent passes openings on until a balancer has acknowledged a heartbeat sent after the gap, and a balancer opens no flows until a peer has answered, 3 s at most. A stopping agent passes on what it holds. Messages with an address that no socket accepts are dropped.

--- a/sapphirelift/_packet_agent.py
+++ b/sapphirelift/_packet_agent.py
@@ -111,6 +111,10 @@
             return
         self.perform()
 
+    def observe_clock(self) -> None:
+        """Lets the decision logic notice that the process was paused."""
+        self.core.observe(clock.boot_ms(), clock.now_ms())
+
     def on_message(
         self, message: messages.Message, source: messages.Address
     ) -> None:
@@ -162,5 +166,6 @@
         while True:
             round_s = heartbeats.ROUND_MS / 1000
             eventlet.sleep(round_s * self.rng.uniform(0.9, 1.1))
+            self.observe_clock()
             self.core.send_heartbeats(clock.now_ms())
             self.perform()
--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -143,9 +143,14 @@
         except errors.DatagramError as error:
             self.drop(error.reason, source[0])
             return
+        self.observe_clock()
         self.core.on_packet(received, clock.now_ms())
         self.perform()
 
+    def observe_clock(self) -> None:
+        """Lets the decision logic notice that the process was paused."""
+        self.core.observe(clock.boot_ms())
+
     def on_message(
         self, message: messages.Message, source: messages.Address
     ) -> None:
--- a/sapphirelift/_packet_node.py
+++ b/sapphirelift/_packet_node.py
@@ -221,6 +221,7 @@
             )
 
     def _on_daemon_datagram(self, data: bytes, source: tuple[str, int]) -> None:
+        self.observe_clock()
         try:
             message = messages.decode(data)
             self._received[type(message).__name__] += 1
@@ -229,6 +230,10 @@
             self.drop(error.reason, source[0])
         self.perform()
 
+    def observe_clock(self) -> None:
+        """Lets the decision logic notice that the process was paused."""
+        raise NotImplementedError
+
     def on_message(
         self, message: messages.Message, source: messages.Address
     ) -> None:
@@ -294,6 +299,7 @@
     def _sweep(self) -> None:
         while True:
             eventlet.sleep(SWEEP_INTERVAL_S)
+            self.observe_clock()
             self.core.sweep(clock.now_ms())
             self.perform()
             self._histograms.observe(self.core.samples.take())
--- a/sapphirelift/clock.py
+++ b/sapphirelift/clock.py
@@ -9,6 +9,15 @@
     return time.monotonic_ns() // 1_000_000
 
 
+def boot_ms() -> int:
+    """Returns the time since the instance started, in milliseconds.
+
+    Unlike ``now_ms``, it includes the time for which the instance was
+    suspended.
+    """
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
 def new_incarnation() -> int:
     """Returns an incarnation number, higher than those of earlier starts.
 
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -15,6 +15,7 @@
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import samples
+from sapphirelift.core.membership import freshness
 
 _Phase = flow_table.Phase
 
@@ -116,6 +117,8 @@
         self._average_updated_ms = now_ms
         self._response_ms = 0.0
         self._state = agents.UNAVAILABLE
+        self._freshness = freshness.Freshness()
+        self._resumed_number = 0
         self._actions: list[actions.Action] = []
 
     def drain_actions(self) -> list[actions.Action]:
@@ -144,6 +147,27 @@
             "backend": self.backend.report,
         }
 
+    def observe(self, boot_ms: int, now_ms: int) -> None:
+        """Notices if the process was paused; to be called often.
+
+        What balancers have told the agent may be out of date then: it takes
+        no new flows until a balancer has answered a heartbeat.
+
+        Args:
+            boot_ms: Time on a clock that runs while the instance is suspended.
+            now_ms: Current time.
+        """
+        if not self._freshness.observe(boot_ms):
+            return
+        self.counters["resumed"] += 1
+        self._resumed_number = self._heartbeat_number
+        held = self.flows.held()
+        self._log("resumed", held=len(held), flows=self.flows.open_flows)
+        for key, flow in held:
+            self._abandon_open(key, flow, "stale", now_ms)
+        for address in self.balancers.all():
+            self._send_heartbeat(address, now_ms)
+
     # The backend server.
 
     def set_report_interval(self, interval_ms: int) -> None:
@@ -258,8 +282,13 @@
             self._send_heartbeat(address, now_ms)
 
     def leave(self, now_ms: int) -> None:
-        """Announces that the agent is about to stop."""
+        """Announces that the agent is about to stop.
+
+        Openings that it holds are passed on; their callers would wait for it.
+        """
         self._is_leaving = True
+        for key, flow in self.flows.held():
+            self._abandon_open(key, flow, agents.LEAVING, now_ms)
         self._announce_state_change(now_ms)
 
     # Packets from the backend server.
@@ -524,6 +553,8 @@
         state = self.state(now_ms)
         if state != agents.READY:
             return state
+        if not self._freshness.is_fresh(self._freshness.last_observed_ms):
+            return "stale"
         if self._is_evacuated:
             return "evacuated"
         if 0 < self._max_flows <= self.flows.open_flows:
@@ -744,6 +775,8 @@
 
     def on_ack(self, ack: messages.HeartbeatAck, now_ms: int) -> None:
         """Applies the values in force at a balancer if they are newer."""
+        if ack.number > self._resumed_number:
+            self._freshness.confirm()
         # A leaving balancer is kept: it comes back at the same address.
         self.balancers.add(ack.balancer, now_ms)
         self.balancers.on_heard(
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -19,6 +19,7 @@
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
 from sapphirelift.core.l4 import watch as watch_module
+from sapphirelift.core.membership import freshness
 
 # Time an agent has to answer an opening packet, which it does once its backend
 # server has accepted the flow. Longer than the time after which an agent passes
@@ -50,6 +51,8 @@
 # store to deliver it before it fetches it from another balancer: a page of
 # 300 KB with 1,400 routes, which fills a link of 20 Mbit/s for 0.1 s.
 FETCH_GRACE_MS = 1000
+# Peers asked for their revisions after a pause, so that one at least answers.
+PEERS_ASKED_AFTER_PAUSE = 8
 # Number of peers and of silent agents contacted in a gossip round. With a round
 # every 500 ms, a change reaches 840 balancers in 5 rounds.
 GOSSIP_PEERS = 3
@@ -189,6 +192,9 @@
         self._silent_resolvers: dict[messages.Address, int] = {}
         self._removed_routes: dict[routes.RouteKey, int] = {}
         self._newer_replica: _NewerReplica | None = None
+        self._freshness = freshness.Freshness()
+        self._revisions_number = 0
+        self._resumed_number = 0
         self._actions: list[actions.Action] = []
 
     def drain_actions(self) -> list[actions.Action]:
@@ -215,6 +221,28 @@
             or self._resolver.has_pending
         )
 
+    def observe(self, boot_ms: int) -> None:
+        """Notices if the process was paused; to be called often.
+
+        What is in force here may be out of date then: the balancer opens no
+        new flows until a peer has answered. Packets of open flows go on.
+
+        Args:
+            boot_ms: Time on a clock that runs while the instance is suspended.
+        """
+        if not self._freshness.observe(boot_ms):
+            return
+        self.counters["resumed"] += 1
+        self._resumed_number = self._revisions_number
+        self._openings.clear()
+        peers = list(self.peers)
+        self._log("resumed", peers=len(peers))
+        if not peers:
+            self._freshness.confirm()
+        asked = min(len(peers), PEERS_ASKED_AFTER_PAUSE)
+        for address in self._rng.sample(peers, asked):
+            self._send_revisions(address, is_reply=False)
+
     # Configuration and evacuations.
 
     def set_configuration(
@@ -307,6 +335,9 @@
 
     def _open(self, received: packet.Packet, now_ms: int) -> None:
         flow = received.flow
+        if not self._freshness.is_fresh(self._freshness.last_observed_ms):
+            self.counters["opens_dropped_after_pause"] += 1
+            return
         route = self.configuration.find(flow)
         if route is None:
             self._refuse_unrouted(received, now_ms)
@@ -866,7 +897,7 @@
             listed = LISTED_TO_NEW_AGENT
         elif self._rng.random() < LISTING_SHARE:
             listed = LISTED_TO_KNOWN_AGENT
-        self._acknowledge(heartbeat, listed=listed)
+        self._acknowledge(heartbeat, listed=listed, is_answer=True)
 
     def on_pulse(
         self, pulse: messages.Pulse, sender: messages.Address, now_ms: int
@@ -946,9 +977,19 @@
             )
 
     def _acknowledge(
-        self, heartbeat: messages.Heartbeat, *, listed: int = 0
+        self,
+        heartbeat: messages.Heartbeat,
+        *,
+        listed: int = 0,
+        is_answer: bool = False,
     ) -> None:
-        """Acknowledges a heartbeat, listing some other balancers."""
+        """Acknowledges a heartbeat, or announces a change in this form.
+
+        Args:
+            heartbeat: The agent's newest heartbeat.
+            listed: Number of other balancers to list.
+            is_answer: Whether the heartbeat has just arrived.
+        """
         service = self.configuration.services.get(heartbeat.service)
         peers: tuple[messages.Address, ...] = ()
         if listed:
@@ -970,6 +1011,7 @@
             evacuations_revision=self.evacuations.revision,
             is_leaving=self.is_leaving,
             interval_ms=self._choose_interval_ms(heartbeat.address),
+            number=heartbeat.number if is_answer else 0,
         )
         self._actions.append(actions.SendDaemon(heartbeat.address, ack))
 
@@ -1027,7 +1069,7 @@
         for address in revisions.agents:
             self.add_agent(address, now_ms)
         if not revisions.is_reply:
-            self._send_revisions(sender, is_reply=True)
+            self._send_revisions(sender, is_reply=True, number=revisions.number)
         self.set_evacuations(
             routes.Evacuations(
                 revisions.evacuations_revision, frozenset(revisions.evacuated)
@@ -1040,6 +1082,8 @@
             revisions.has_directory,
             now_ms,
         )
+        if revisions.is_reply and revisions.number > self._resumed_number:
+            self._freshness.confirm()
         if not self._lacks(newer):
             return
         if self._newer_replica is not None:
@@ -1069,8 +1113,11 @@
             self._actions.append(actions.FetchReplica(newer.address))
 
     def _send_revisions(
-        self, address: messages.Address, *, is_reply: bool
+        self, address: messages.Address, *, is_reply: bool, number: int = 0
     ) -> None:
+        if not is_reply:
+            self._revisions_number += 1
+            number = self._revisions_number
         known = [agent.address for agent in self.agents]
         if len(known) > MAX_LISTED_AGENTS:
             known = self._rng.sample(known, MAX_LISTED_AGENTS)
@@ -1083,6 +1130,7 @@
             agents=tuple(known),
             has_directory=self.has_directory,
             is_reply=is_reply,
+            number=number,
         )
         self._actions.append(actions.SendDaemon(address, message))
 
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -4,6 +4,9 @@
 messages of an unknown kind and those that cannot be decoded.
 """
 
+import functools
+import socket
+import typing
 from typing import Any
 from typing import NamedTuple
 
@@ -260,6 +263,8 @@
         is_leaving: Whether the balancer is about to stop.
         interval_ms: Interval at which it asks for heartbeats; 0 to leave it
             as it is.
+        number: Number of the heartbeat that it acknowledges; 0 if it is not
+            an answer.
     """
 
     balancer: Address
@@ -272,6 +277,7 @@
     evacuations_revision: int
     is_leaving: bool
     interval_ms: int = 0
+    number: int = 0
 
 
 class Hello(NamedTuple):
@@ -300,6 +306,7 @@
             heartbeats.
         has_directory: Whether its replica lists all agents.
         is_reply: Whether this is a reply, which needs no answer.
+        number: Number chosen by the balancer that asks; a reply repeats it.
     """
 
     balancer: Address
@@ -310,6 +317,7 @@
     agents: tuple[Address, ...]
     has_directory: bool
     is_reply: bool
+    number: int = 0
 
 
 Message = (
@@ -350,6 +358,14 @@
     Resolved,
     Pulse,
 )
+_ADDRESS_FIELDS = [
+    [
+        index
+        for index, hint in enumerate(typing.get_type_hints(kind).values())
+        if Address in (hint, *typing.get_args(hint))
+    ]
+    for kind in _KINDS
+]
 _KIND_BYTES = {kind: bytes([index]) for index, kind in enumerate(_KINDS)}
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
 _ENCODE = msgspec.msgpack.Encoder().encode
@@ -371,6 +387,27 @@
     if data[0] >= len(_DECODERS):
         raise errors.DatagramError("unknown_kind")
     try:
-        return _DECODERS[data[0]].decode(memoryview(data)[1:])
+        message = _DECODERS[data[0]].decode(memoryview(data)[1:])
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise errors.DatagramError("malformed") from error
+    for field in _ADDRESS_FIELDS[data[0]]:
+        value = message[field]
+        addresses = (value,) if isinstance(value, Address) else value or ()
+        if not all(map(_is_usable, addresses)):
+            raise errors.DatagramError("malformed")
+    return message
+
+
+@functools.lru_cache(maxsize=16_384)
+def _is_usable(address: Address) -> bool:
+    """Returns whether a socket can send to an address without a lookup.
+
+    A ``Resolved`` message without an owner has an empty address.
+    """
+    if address == ("", 0):
+        return True
+    try:
+        socket.inet_pton(socket.AF_INET, address.ip)
+    except (OSError, ValueError):
+        return False
+    return 0 < address.port < 1 << 16
--- a/sapphirelift/core/membership/freshness.py
+++ b/sapphirelift/core/membership/freshness.py
@@ -33,6 +33,11 @@
         self._stale_since_ms = now_ms
         return True
 
+    @property
+    def last_observed_ms(self) -> int:
+        """Time of the last observation; 0 if there was none."""
+        return self._last_observed_ms or 0
+
     def is_fresh(self, now_ms: int) -> bool:
         """Returns whether packets may be routed by the records in force.
 
