Keep agents that have been asked for rare heartbeats

Cause, found by reading: with 7,000 agents those that are not watched send a heartbeat in 700 s, and were forgotten after 60 s.

tests/test_l4_watch.py, test_agent_with_rare_heartbeats_is_not_forgotten, failed before.

--- a/sapphirelift/core/l4/agents.py
+++ b/sapphirelift/core/l4/agents.py
@@ -223,11 +223,15 @@
         return previous
 
     def forget_silent(self, now_ms: int) -> list[KnownAgent]:
-        """Removes and returns agents silent for ``FORGET_AFTER_MS``."""
+        """Removes and returns agents silent for ``FORGET_AFTER_MS``.
+
+        Agents that have been asked for rare heartbeats get more time.
+        """
         silent = [
             agent
             for agent in self._by_address.values()
-            if now_ms - agent.last_heard_ms > FORGET_AFTER_MS
+            if now_ms - agent.last_heard_ms
+            > max(FORGET_AFTER_MS, SUSPECT_AFTER_INTERVALS * agent.interval_ms)
         ]
         for agent in silent:
             self.remove(agent.address)
--- a/tests/test_l4_watch.py
+++ b/tests/test_l4_watch.py
@@ -279,6 +279,23 @@
         assert len(core.agents) == 200
         assert len(core.watch) <= watch.MAX_LOCAL + watch.MIN_TOTAL
 
+    def test_agent_with_rare_heartbeats_is_not_forgotten(self) -> None:
+        """Guards against agents forgotten and greeted again and again.
+
+        With 7,000 agents, those that are not watched send a heartbeat in 700 s.
+        """
+        net = packet_network.Network(1)
+        net.add_agent()
+        core = net.add_balancer().core
+        net.run(1000)
+        (known,) = core.agents
+        known.interval_ms = 700_000
+        heard_ms = known.last_heard_ms
+        core.sweep(heard_ms + 700_000)
+        assert len(core.agents) == 1
+        core.sweep(heard_ms + 4 * 700_000)
+        assert len(core.agents) == 0
+
     def test_owner_in_use_is_watched(self) -> None:
         """Guards against late news about the owner of an open flow."""
         net = network(balancers=5, agents=50)
