--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -676,8 +676,7 @@
         self, ask: messages.Ask, sender: messages.Address, now_ms: int
     ) -> None:
         """Answers a balancer whether this agent owns a flow."""
-        flow = self.flows.get(ask.flow)
-        if flow is not None and flow.phase.is_owned:
+        if self._owns(ask.flow):
             verdict = messages.OWNS
         elif self._has_full_table:
             verdict = messages.OWNS_NOT
@@ -686,13 +685,13 @@
         answer = messages.Answer(ask.flow, self.identity.address, verdict)
         self._send(sender, answer)
 
+    def _owns(self, key: packet.FlowKey) -> bool:
+        flow = self.flows.get(key)
+        return flow is not None and flow.phase.is_owned
+
     def on_ask_many(self, ask: messages.AskMany) -> None:
         """Answers a balancer which of several flows this agent owns."""
-        owned = tuple(
-            key
-            for key in ask.flows
-            if (flow := self.flows.get(key)) is not None and flow.phase.is_owned
-        )
+        owned = tuple(filter(self._owns, ask.flows))
         answer = messages.AnswerMany(
             self.identity.address, owned, self._has_full_table
         )
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -586,11 +586,7 @@
                 local.append(agent)
             else:
                 remote.append(agent)
-        others += [
-            address
-            for address, found_ms in self._unconfirmed_agents.items()
-            if now_ms - found_ms <= self.contact_ms
-        ]
+        others += self._unconfirmed_owners(now_ms)
         likely = [
             agent.address
             for known in (local, remote)
@@ -598,6 +594,14 @@
         ]
         return [*likely, *others][:MAX_ASKED_AGENTS]
 
+    def _unconfirmed_owners(self, now_ms: int) -> list[messages.Address]:
+        """Returns agents known only by their address that may own a flow."""
+        return [
+            address
+            for address, found_ms in self._unconfirmed_agents.items()
+            if now_ms - found_ms <= self.contact_ms
+        ]
+
     def _apply_lookup_steps(
         self, now_ms: int, steps: list[lookup.Step]
     ) -> None:
@@ -687,11 +691,7 @@
             for agent in self.agents
             if agent.may_own(now_ms, contact_ms=self.contact_ms)
         ]
-        known += [
-            address
-            for address, found_ms in self._unconfirmed_agents.items()
-            if now_ms - found_ms <= self.contact_ms
-        ]
+        known += self._unconfirmed_owners(now_ms)
         self._apply_resolver_steps(
             now_ms,
             self._resolver.begin_round(
@@ -1179,10 +1179,11 @@
         if len(others) > GOSSIP_HELLOS:
             others = self._rng.sample(others, GOSSIP_HELLOS)
         for address in others:
-            agent_or_none = self.agents.get(address)
-            if agent_or_none is not None:
-                agent_or_none.on_asked(now_ms)
-            self._send_hello(address)
+            known = self.agents.get(address)
+            if known is not None:
+                self._ask_for_heartbeat(known, now_ms)
+            else:
+                self._send_hello(address)
 
     def acknowledge_watched(self) -> None:
         """Sends what is in force to the watched agents.
--- a/sapphirelift/core/l4/watch.py
+++ b/sapphirelift/core/l4/watch.py
@@ -7,7 +7,6 @@
 """
 
 import heapq
-from collections.abc import Iterator
 
 import xxhash
 
@@ -57,9 +56,6 @@
     def __len__(self) -> int:
         return len(self._watched)
 
-    def __iter__(self) -> Iterator[messages.Address]:
-        return iter(self._watched)
-
     def includes(self, address: messages.Address) -> bool:
         """Returns whether an agent is watched, or new since the last choice."""
         return address in self._watched or address not in self._known
