Skip only the resolver that has not answered

Cause, found in reading the change: when several searches of a balancer waited for one silent resolver, the resolver was computed anew for each of them, so that the second search blamed the next resolver in the order, and so on. One dead resolver could make five be skipped.

Change: a search remembers which resolver it has asked.

tests/test_l4_resolver.py, test_only_the_silent_resolver_is_skipped, failed before (four live balancers skipped).

--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -615,8 +615,8 @@
                     )
                 case lookup.SendResolve(flow):
                     self._send_resolve(flow, now_ms)
-                case lookup.ResolverSilent(flow):
-                    self._on_resolver_silent(flow, now_ms)
+                case lookup.ResolverSilent(flow, address):
+                    self._on_resolver_silent(flow, address, now_ms)
                 case lookup.Found(flow, address, packets, took_ms):
                     self.samples.add("owner_search", took_ms)
                     self._cache_owner(flow, _Owner(address))
@@ -648,6 +648,7 @@
 
     def _send_resolve(self, flow: packet.FlowKey, now_ms: int) -> None:
         address = self._resolver_of(flow, now_ms)
+        self._lookups.on_resolve_sent(flow, address)
         self.counters["resolves"] += 1
         if address == self._address:
             self._resolver.add(flow, self._address)
@@ -655,8 +656,9 @@
             message = messages.Resolve(self._address, flow)
             self._actions.append(actions.SendDaemon(address, message))
 
-    def _on_resolver_silent(self, flow: packet.FlowKey, now_ms: int) -> None:
-        address = self._resolver_of(flow, now_ms)
+    def _on_resolver_silent(
+        self, flow: packet.FlowKey, address: messages.Address, now_ms: int
+    ) -> None:
         if address == self._address:
             return
         self._silent_resolvers[address] = now_ms + resolver.UNRESPONSIVE_MS
--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -47,6 +47,7 @@
     """The resolver of a flow has not answered in time."""
 
     flow: packet.FlowKey
+    address: messages.Address
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,6 +111,7 @@
         next_wave: Number of agents in the next wave.
         can_resolve: Whether a resolver may be asked after the first wave.
         is_resolving: Whether the search waits for a resolver.
+        resolver: The resolver that was asked, None if none has been.
     """
 
     packets: collections.deque[packet.Packet]
@@ -128,6 +130,7 @@
     next_wave: int = FIRST_WAVE_SIZE
     can_resolve: bool = False
     is_resolving: bool = False
+    resolver: messages.Address | None = None
 
 
 class Lookups:
@@ -188,6 +191,14 @@
         )
         return self._advance(received.flow, now_ms)
 
+    def on_resolve_sent(
+        self, flow: packet.FlowKey, address: messages.Address
+    ) -> None:
+        """Records which resolver has been asked about a flow."""
+        search = self._lookups.get(flow)
+        if search is not None:
+            search.resolver = address
+
     def on_resolved(
         self, resolved: messages.Resolved, now_ms: int
     ) -> list[Step]:
@@ -263,7 +274,8 @@
             elif search.is_resolving:
                 if now_ms - search.asked_ms > resolver.OUTCOME_MS:
                     search.is_resolving = False
-                    steps.append(ResolverSilent(flow))
+                    if search.resolver is not None:
+                        steps.append(ResolverSilent(flow, search.resolver))
                     steps.extend(self._advance(flow, now_ms))
             elif now_ms - search.asked_ms > ANSWER_MS:
                 if search.probed_agent is not None:
--- a/tests/test_l4_resolver.py
+++ b/tests/test_l4_resolver.py
@@ -227,6 +227,35 @@
         assert caller.state == "reset"
         assert core.counters["resolvers_silent"] <= 1
 
+    def test_only_the_silent_resolver_is_skipped(self) -> None:
+        """Guards against resolvers blamed for the silence of another one.
+
+        Several searches of a balancer wait for the same resolver.
+        """
+        net = packet_network.Network(1)
+        for _ in range(60):
+            net.add_agent()
+        for _ in range(20):
+            net.add_balancer()
+        net.run(6000)
+        addresses = [host.address for host in net.balancers.values()]
+        dead = resolver.choose(FLOWS[0], addresses)
+        net.balancers[dead.ip].is_up = False
+        net.rotation = [ip for ip in net.rotation if ip != dead.ip][-1:]
+        flows = [net.open_flow() for _ in range(5)]
+        net.run(500)
+        for host in net.agents.values():
+            host.stop_agent()
+            host.start_backend()
+            host.start_agent()
+        core = net.balancers[net.rotation[0]].core
+        core._owners.clear()
+        for flow in flows:
+            flow.request()
+        net.run(1500)
+        assert core.counters["resolvers_silent"] > 0
+        assert list(core._silent_resolvers) == [dead]
+
     @pytest.mark.parametrize("seed", [1, 2, 3])
     def test_living_flows_survive(self, seed: int) -> None:
         """Guards against resets of flows that their owner still has.
