Log the era and revisions of the store, and refused configurations

After the store's return from an older copy the logs could not tell whether a configuration was read and refused as old, missed by a watch, or never there. Lists and lost histories now carry the era of the store; a configuration that is read and not put in force is logged with both versions and revisions; the era and its growth are metrics. No decision is changed.

--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -173,6 +173,16 @@
     def _apply_configuration(
         self, value: Any, revision: int, source: str
     ) -> None:
+        if revision < self.core.configuration.revision:
+            self.log.write(
+                "configuration_not_newer",
+                revision=revision,
+                revision_in_force=self.core.configuration.revision,
+                version=configuration.version_of(value),
+                version_in_force=self.core.configuration.version,
+                era=self.store.era,
+                source=source,
+            )
         if revision <= self.core.configuration.revision:
             return
         try:
--- a/sapphirelift/_packet_node.py
+++ b/sapphirelift/_packet_node.py
@@ -202,6 +202,8 @@
             "peer_received_by_kind": dict(self._received),
             "platform_calls_by_kind": dict(self.store.calls),
             "platform_failures": dict(self.store.failures),
+            "store_era": self.store.era,
+            "store_restores": self.store.restores,
             "log_lines_dropped": self.log.dropped,
             "task_failures": dict(tasks.failures),
         }
--- a/sapphirelift/_store_follower.py
+++ b/sapphirelift/_store_follower.py
@@ -87,6 +87,15 @@
             listing = self._store.list_kind(self._kind)
             self._objects = {item.name: item for item in listing.objects}
             self._revision = listing.revision
+            self._log.write(
+                "store_listed",
+                kind=self._kind,
+                revision=listing.revision,
+                era=self._store.era,
+                newest_revision=max(
+                    (item.revision for item in listing.objects), default=0
+                ),
+            )
             self._on_objects(self._objects, self._revision)
             return
         answer = self._store.watch(
@@ -96,7 +105,10 @@
         )
         if answer is None:
             self._log.write(
-                "history_lost", kind=self._kind, revision=self._revision
+                "history_lost",
+                kind=self._kind,
+                revision=self._revision,
+                era=self._store.era,
             )
             self._revision = None
             return
@@ -117,6 +129,7 @@
                 event,
                 kind=self._kind,
                 revision=self._revision,
+                era=self._store.era,
                 unanswered_ms=now_ms - self._last_answer_ms,
                 **fields,
             )
--- a/sapphirelift/operators/metrics.py
+++ b/sapphirelift/operators/metrics.py
@@ -27,6 +27,10 @@
         "cold_restarts",
         "Times that the ramp of the backend server has restarted.",
     ),
+    "store_restores": (
+        "store_restores",
+        "Times that the platform's store has returned from an older copy.",
+    ),
 }
 # Gauges of the state dump: entry, then metric and help text.
 _GAUGES = {
@@ -42,6 +46,7 @@
     "utilisation": ("slot_utilisation_ratio", "Busy share of all slots."),
     "cold": ("cold", "Whether the ramp limits the backend server."),
     "withdrawn": ("withdrawn", "Whether the agent's data centre is out."),
+    "store_era": ("store_era", "Newest era of the platform's store."),
     "watch_silent": ("watch_silent", "Whether the last watch failed."),
     "platform_reverted": (
         "platform_reverted",
--- a/sapphirelift/platform/configuration.py
+++ b/sapphirelift/platform/configuration.py
@@ -87,6 +87,16 @@
     )
 
 
+def version_of(value: Any) -> int:
+    """Returns the version of a configuration, valid otherwise or not.
+
+    >>> version_of({"Version": 7}), version_of({"Version": "7"}), version_of(3)
+    (7, 0, 0)
+    """
+    version = value.get("Version") if isinstance(value, dict) else None
+    return version if isinstance(version, int) else 0
+
+
 def _route(route: _Route) -> tuple[routes.RouteKey, routes.Route]:
     key = routes.RouteKey(
         packets.ip_number(route.host), int(route.path_prefix.strip("/"))
--- a/sapphirelift/platform/store.py
+++ b/sapphirelift/platform/store.py
@@ -27,6 +27,8 @@
 POOL_CONNECTIONS = 4
 # Longer lists are rejected as faulty; 7,840 daemons need 16 pages.
 MAX_LIST_PAGES = 64
+# Number that the store increases each time it returns from an older copy.
+ERA_HEADER = "Store-Era"
 
 
 class Object(NamedTuple):
@@ -119,6 +121,9 @@
         calls: Number of calls by kind of call; a watch counts as one call.
         failures: Number of calls without a usable answer, by kind of call.
         skipped: Number of items that could not be decoded as objects.
+        era: Newest era seen in an answer; 0 before the first one.
+        restores: Number of times that the era has grown since the first
+            answer.
     """
 
     def __init__(
@@ -141,6 +146,8 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.failures: collections.Counter[str] = collections.Counter()
         self.skipped = 0
+        self.era = 0
+        self.restores = 0
 
     def get(self, kind: str, name: str, *, call: str = "get") -> Object | None:
         """Returns an object, or None if it does not exist.
@@ -386,10 +393,20 @@
             raise self._failure(call, "no answer in time") from error
         finally:
             call_timeout.cancel()
+        self._on_era(response.headers.get(ERA_HEADER, ""))
         if response.status not in (200, 201, 404, 409, 410):
             raise self._failure(call, f"status {response.status}")
         return response.status, data
 
+    def _on_era(self, header: str) -> None:
+        """Records the era of an answer; ignores a missing or invalid one."""
+        if not header.isascii() or not header.isdecimal():
+            return
+        era = int(header)
+        if era > self.era:
+            self.restores += self.era > 0
+            self.era = era
+
     def _new_pool(self) -> Any:
         import urllib3  # noqa: PLC0415
 
