--- a/sapphirelift/standins/platform.py
+++ b/sapphirelift/standins/platform.py
@@ -6,7 +6,8 @@
 
 ``POST /faults`` with a JSON object sets the faults to inject (see
 ``Faults``); ``POST /restart`` empties the store and resets its revision;
-``GET /calls`` returns the number of calls by method.
+``POST /copy`` copies the store, and ``POST /restore`` returns to the last copy
+and begins a new era; ``GET /calls`` returns the number of calls by method.
 
 Environment variables: with ``PLATFORM_CERTIFICATE`` and ``PLATFORM_KEY`` it
 serves TLS, with ``PLATFORM_CLIENT_CA`` it also requires client certificates,
@@ -32,6 +33,7 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 HISTORY_CHANGES = 10_000
 _PREFIX = "/v1/objects/"
+_ERA_HEADER = "Store-Era"
 # Maximum number of items in one page of a list.
 PAGE_ITEMS = 500
 
@@ -92,6 +94,7 @@
         trimmed_revision: Revision of the latest change that was removed
             from the history.
         history: Latest changes, oldest first.
+        is_replaced: Whether an older copy has taken the place of this store.
     """
 
     def __init__(self) -> None:
@@ -99,8 +102,23 @@
         self.revision = 1
         self.trimmed_revision = 0
         self.history: collections.deque[_Change] = collections.deque()
+        self.is_replaced = False
         self._changed: eventlet.event.Event = eventlet.event.Event()
 
+    def copy(self) -> "ObjectStore":
+        """Returns a copy that later changes do not affect."""
+        copied = ObjectStore()
+        copied.objects = dict(self.objects)
+        copied.revision = self.revision
+        copied.trimmed_revision = self.trimmed_revision
+        copied.history = self.history.copy()
+        return copied
+
+    def replace(self) -> None:
+        """Marks the store as replaced and ends the watches that wait on it."""
+        self.is_replaced = True
+        self._wake_watches()
+
     def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         """Creates or replaces an object; an equal spec changes nothing."""
         existing = self.objects.get((kind, name))
@@ -169,7 +187,7 @@
         with eventlet.Timeout(timeout_s, False):
             while True:
                 changes = self.changes(kind, since)
-                if changes is None or changes["events"]:
+                if self.is_replaced or changes is None or changes["events"]:
                     return
                 self._changed.wait()
 
@@ -191,6 +209,9 @@
 
     def _record(self, change: _Change) -> None:
         self.apply(change)
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         changed, self._changed = self._changed, eventlet.event.Event()
         changed.send(None)
 
@@ -200,6 +221,8 @@
 
     def __init__(self, *, token: str = "") -> None:
         self.store = ObjectStore()
+        self.era = 1
+        self._copy = ObjectStore()
         self._token = token
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
@@ -211,7 +234,11 @@
         """Handles one call."""
         status, body = self._handle(environ)
         data = json.dumps(body).encode()
-        start_response(status, [("Content-Type", "application/json")])
+        headers = [
+            ("Content-Type", "application/json"),
+            (_ERA_HEADER, str(self.era)),
+        ]
+        start_response(status, headers)
         return [data]
 
     def _handle(self, environ: dict[str, Any]) -> tuple[str, Any]:
@@ -229,6 +256,12 @@
         if path == "/restart":
             self.store = ObjectStore()
             return "200 OK", {}
+        if path == "/copy":
+            self._copy = self.store.copy()
+            return "200 OK", {}
+        if path == "/restore":
+            self.restore()
+            return "200 OK", {}
         if path == "/calls":
             return "200 OK", dict(self.calls)
         self.calls[method] += 1
@@ -256,6 +289,12 @@
                 return self._delete(kind, name, query.get("Revision"))
         return "400 Bad Request", {}
 
+    def restore(self) -> None:
+        """Returns to the last copy, as after a loss of the newest changes."""
+        replaced, self.store = self.store, self._copy.copy()
+        self.era += 1
+        replaced.replace()
+
     def _list(
         self, kind: str, query: dict[str, str], environ: dict[str, Any]
     ) -> tuple[str, Any]:
@@ -270,8 +309,9 @@
             self.faults.silent_watches -= 1
             self._silent_ports.add(environ["REMOTE_PORT"])
             self._block_forever()
-        self.store.wait(kind, since, wait_ms / 1000)
-        if self.faults.down:
+        watched = self.store
+        watched.wait(kind, since, wait_ms / 1000)
+        if self.faults.down or watched.is_replaced:
             return "503 Service Unavailable", {}
         store = self._readable_store()
         if since > store.revision and since <= self.store.revision:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -192,6 +192,55 @@
             caller.close()
 
 
+class TestStoreRestored:
+    """The store returns from a copy that lacks the newest changes."""
+
+    def test_withdrawal_outlives_the_return(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against records that come back older, or are refused."""
+        start(fleet)
+        processes.post_json(fleet.platform_port, "/copy", {})
+        platform = client.ObjectClient(fleet.platform_url)
+        for number in range(5):
+            platform.put("records/service/filler", {"number": number})
+        wait_in_force(fleet, withdraw(fleet, "etela-b"))
+        processes.post_json(fleet.platform_port, "/restore", {})
+        end_s = time.monotonic() + 1.5
+        while time.monotonic() < end_s:
+            for name in fleet.public:
+                assert fleet.dump(name)["withdrawn"] == ["etela-b"]
+        for data_centre in ("etela-b", "etela-c"):
+            withdraw(fleet, data_centre)
+        processes.wait_until(
+            lambda: all(
+                fleet.dump(name)["withdrawn"] == ["etela-b", "etela-c"]
+                for name in fleet.public
+            ),
+            timeout_s=PROPAGATION_BOUND_S,
+        )
+        end_s = time.monotonic() + 4.0
+        while time.monotonic() < end_s:
+            for name in fleet.public:
+                assert fleet.dump(name)["withdrawn"] == ["etela-b", "etela-c"]
+
+    def test_members_announce_themselves_again(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against members that stay missing in the store."""
+        fleet.start_platform()
+        processes.post_json(fleet.platform_port, "/copy", {})
+        fleet.start_balancer("balancer-0")
+        fleet.start_agent("agent-0", service=SERVICE)
+        fleet.wait_ready(agents=1)
+        processes.post_json(fleet.platform_port, "/restore", {})
+        platform = client.ObjectClient(fleet.platform_url, calls_per_s=100)
+        processes.wait_until(
+            lambda: len(platform.list_objects("members/").objects) == 2,
+            timeout_s=PROPAGATION_BOUND_S,
+        )
+
+
 class TestNeighbours:
     """Startup of an instance while the platform is down."""
 
--- a/tests/test_packet_daemon.py
+++ b/tests/test_packet_daemon.py
@@ -393,3 +393,83 @@
         sent = [li for li in site.lines(first) if li["event"] == "open_sent"]
         assert sent[0]["flow"] == str(caller.flow)
         assert sent[0]["configuration_revision"] > 0
+
+
+class TestStoreRestored:
+    """The store returns from a copy that lacks the newest changes."""
+
+    def configure(self, site: Site, version: int) -> None:
+        """Writes a version of the configuration, as the operators do."""
+        value = CONFIGURATION | {"Version": version}
+        site.store.replace("config", "main", value)
+
+    def restore(self, site: Site) -> None:
+        """Replaces the store by its copy."""
+        processes.post_json(site.fleet.platform_port, "/restore", {})
+
+    def versions(self, site: Site) -> list[int]:
+        """Returns the version of the configuration at each balancer."""
+        return [
+            json.loads(site.get(ip, "/dump"))["configuration_version"]
+            for ip in BALANCER_IPS
+        ]
+
+    def evacuated(self, site: Site) -> list[list[str]]:
+        """Returns the evacuated data centres at each balancer."""
+        return [
+            json.loads(site.get(ip, "/dump"))["evacuated"]
+            for ip in BALANCER_IPS
+        ]
+
+    def test_configuration_written_after_the_return_is_in_force(
+        self, site: Site
+    ) -> None:
+        """Guards against changes refused because revisions have gone back."""
+        processes.post_json(site.fleet.platform_port, "/copy", {})
+        for version in (4, 5):
+            self.configure(site, version)
+        processes.wait_until(lambda: self.versions(site) == [5, 5])
+        self.restore(site)
+        time.sleep(2.0)
+        assert self.versions(site) == [5, 5]
+        for version in (5, 6):
+            self.configure(site, version)
+        processes.wait_until(
+            lambda: self.versions(site) == [6, 6], timeout_s=3.0
+        )
+
+    def test_evacuation_outlives_the_return(self, site: Site) -> None:
+        """Guards against evacuations lost or missed after the return."""
+        processes.post_json(site.fleet.platform_port, "/copy", {})
+        for _ in range(2):
+            site.store.create("evacuations", "b", {})
+            site.store.delete("evacuations", "b")
+        site.store.create("evacuations", "a", {})
+        processes.wait_until(lambda: self.evacuated(site) == [["a"], ["a"]])
+        self.restore(site)
+        end_s = time.monotonic() + 1.5
+        while time.monotonic() < end_s:
+            assert self.evacuated(site) == [["a"], ["a"]]
+        site.store.create("evacuations", "a", {})
+        site.store.delete("evacuations", "a")
+        processes.wait_until(
+            lambda: self.evacuated(site) == [[], []], timeout_s=5.0
+        )
+        site.store.create("evacuations", "a", {})
+        processes.wait_until(
+            lambda: self.evacuated(site) == [["a"], ["a"]], timeout_s=5.0
+        )
+
+    def test_entries_are_written_again(self, site: Site) -> None:
+        """Guards against daemons that later starts cannot find."""
+        processes.post_json(site.fleet.platform_port, "/copy", {})
+        for name in ("agent-127.60.2.1", "balancer-127.60.1.1"):
+            site.store.delete("sapphirelift-daemons", name)
+        processes.post_json(site.fleet.platform_port, "/copy", {})
+        self.restore(site)
+        processes.wait_until(
+            lambda: (
+                len(site.store.list_kind("sapphirelift-daemons").objects) == 4
+            ),
+            timeout_s=15.0,
+        )
