Order revisions of the store across its return from an older copy

Cause: a revision of the store is unique only within one of its eras. After the return, revisions are given out again, so a new change compares as older than the state in force and is refused, and a watch that resumes from a revision of before waits in another history. Conditional writes have the same fault: the condition can hold for another state of the object.

The client of the store now puts the era above the store's revision, at the one place where revisions enter and leave the system, so that every comparison, also in messages between daemons, orders states of different eras. It refuses conditions of an earlier era, ends watches that wait when another call or daemon has seen a newer one, refuses answers of earlier eras and lists with pages of two eras, and takes an unusable header for no answer. After an outage a watch first asks without waiting. In the first era revisions are unchanged.

--- a/sapphirelift/_store_follower.py
+++ b/sapphirelift/_store_follower.py
@@ -10,6 +10,7 @@
 from sapphirelift import decision_log
 from sapphirelift import errors
 from sapphirelift import tasks
+from sapphirelift.core import revisions
 from sapphirelift.core.requests import backoff
 from sapphirelift.platform import store as store_module
 
@@ -90,10 +91,14 @@
             self._log.write(
                 "store_listed",
                 kind=self._kind,
-                revision=listing.revision,
-                era=self._store.era,
+                revision=revisions.store_revision_of(listing.revision),
+                era=revisions.era_of(listing.revision),
                 newest_revision=max(
-                    (item.revision for item in listing.objects), default=0
+                    (
+                        revisions.store_revision_of(item.revision)
+                        for item in listing.objects
+                    ),
+                    default=0,
                 ),
             )
             self._on_objects(self._objects, self._revision)
@@ -101,13 +106,20 @@
         answer = self._store.watch(
             self._kind,
             since=self._revision,
-            wait_ms=wait_ms(self._balancers(), self._rng),
+            # After an outage, the first answer tells at once whether the store
+            # has returned from an older copy meanwhile.
+            wait_ms=(
+                wait_ms(self._balancers(), self._rng)
+                if self.is_connected
+                else 0
+            ),
         )
         if answer is None:
             self._log.write(
                 "history_lost",
                 kind=self._kind,
-                revision=self._revision,
+                revision=revisions.store_revision_of(self._revision),
+                former_era=revisions.era_of(self._revision),
                 era=self._store.era,
             )
             self._revision = None
@@ -128,7 +140,7 @@
             self._log.write(
                 event,
                 kind=self._kind,
-                revision=self._revision,
+                revision=revisions.store_revision_of(self._revision or 0),
                 era=self._store.era,
                 unanswered_ms=now_ms - self._last_answer_ms,
                 **fields,
--- a/sapphirelift/errors.py
+++ b/sapphirelift/errors.py
@@ -106,6 +106,22 @@
         self.current_revision = current_revision
 
 
+class StoreRestoredError(ConflictError):
+    """A conditional write names a revision of before the store's return.
+
+    The write has not been sent, or it has changed another state of the object
+    than the one that was read.
+    """
+
+    def __init__(self, key: str) -> None:
+        SapphireliftError.__init__(
+            self,
+            f"the store has returned from an older copy since {key} was read",
+            remedy="read it again, merge the change and retry",
+        )
+        self.current_revision = 0
+
+
 class PlatformUnavailableError(SapphireliftError):
     """The platform sent no valid answer; a write may have taken effect."""
 
--- a/sapphirelift/platform/client.py
+++ b/sapphirelift/platform/client.py
@@ -170,6 +170,8 @@
             return self._put_conditionally(
                 key, body | {"write_id": write_id}, expected_revision
             )
+        except errors.StoreRestoredError:
+            raise
         except errors.ConflictError as error:
             raise errors.ConflictError(key, error.current_revision) from error
         except errors.PlatformUnavailableError:
@@ -221,6 +223,8 @@
         )
         try:
             self.store.delete(*_kind_and_name(key), revision=marked_revision)
+        except errors.StoreRestoredError:
+            raise
         except errors.ConflictError as error:
             raise errors.ConflictError(key, error.current_revision) from error
         except errors.PlatformUnavailableError:
--- a/sapphirelift/platform/store.py
+++ b/sapphirelift/platform/store.py
@@ -1,4 +1,8 @@
-"""HTTP client of the platform's store of objects by kind and name."""
+"""HTTP client of the platform's store of objects by kind and name.
+
+The store may return from an older copy, which begins a new era. All revisions
+that this client returns and takes contain the era, see ``core.revisions``.
+"""
 
 import collections
 import urllib.parse
@@ -6,11 +10,14 @@
 from typing import NamedTuple
 
 import eventlet
+import eventlet.hubs
+import greenlet
 import msgspec
 
 from sapphirelift import clock
 from sapphirelift import credentials as credentials_module
 from sapphirelift import errors
+from sapphirelift.core import revisions
 from sapphirelift.core.requests import rate_limit
 
 CONNECT_TIMEOUT_S = 1.0
@@ -29,6 +36,7 @@
 MAX_LIST_PAGES = 64
 # Number that the store increases each time it returns from an older copy.
 ERA_HEADER = "Store-Era"
+MAX_ERA_DIGITS = len(str(revisions.MAX_ERA))
 
 
 class Object(NamedTuple):
@@ -36,7 +44,7 @@
 
     Attributes:
         name: Name, unique within the kind.
-        revision: Revision of the store at the object's last change.
+        revision: Revision at the object's last change, with the store's era.
         value: JSON data, as written by the object's writer.
     """
 
@@ -114,6 +122,22 @@
     events: list[_Event] = msgspec.field(default_factory=list)
 
 
+class Answer(NamedTuple):
+    """Answer of the store to a call.
+
+    Attributes:
+        era: Era of the store when it answered.
+    """
+
+    status: int
+    data: bytes
+    era: int
+
+
+class _NewEraError(Exception):
+    """Raised in a waiting watch when the store has begun a new era."""
+
+
 class Store:
     """Client of the store that limits the rate of its calls.
 
@@ -148,6 +172,8 @@
         self.skipped = 0
         self.era = 0
         self.restores = 0
+        self._announced_era = 0
+        self._watching: set[greenlet.greenlet] = set()
 
     def get(self, kind: str, name: str, *, call: str = "get") -> Object | None:
         """Returns an object, or None if it does not exist.
@@ -160,8 +186,10 @@
         Raises:
             PlatformUnavailableError: There was no usable answer.
         """
-        status, data = self._call(call, "GET", _path(kind, name))
-        return None if status == 404 else self._decode_object(call, data)
+        answer = self._call(call, "GET", _path(kind, name))
+        return (
+            None if answer.status == 404 else self._decode_object(call, answer)
+        )
 
     def list_kind(self, kind: str, *, allow_stale: bool = False) -> Listing:
         """Returns all objects of a kind.
@@ -176,16 +204,22 @@
         """
         objects: dict[str, Object] = {}
         revision: int | None = None
+        era = 0
         after = ""
         for _ in range(MAX_LIST_PAGES):
             query: dict[str, Any] = {"after": after} if after else {}
             if allow_stale:
                 query["AllowStale"] = 1
-            page = self._list_page("list", _path(kind), query)
+            answer = self._call("list", "GET", _path(kind), query=query)
+            page: _Listing = self._decode("list", answer, _Listing)
             # The revision of the first page holds for the whole list: changes
             # between two pages are missing from the earlier page.
-            revision = page.revision if revision is None else revision
-            found = self._decode_objects(page.items)
+            if revision is None:
+                era = answer.era
+                revision = self._qualify("list", page.revision, answer)
+            elif era != answer.era:
+                raise self._failure("list", "pages of two eras")
+            found = self._decode_objects(page.items, answer)
             objects.update((item.name, item) for item in found)
             if not page.has_more:
                 return Listing(revision, list(objects.values()))
@@ -207,32 +241,57 @@
 
         Returns:
             The changes, empty if there were none within ``wait_ms``; None if
-            the store's history does not reach back to ``since``.
+            the store's history does not reach back to ``since``, or if the
+            store has begun a new era since then.
 
         Raises:
             PlatformUnavailableError: There was no usable answer; the
                 connection is closed and the next watch uses a new one.
         """
-        query: dict[str, Any] = {"Watch": since, "WaitMs": wait_ms}
+        if self.era > revisions.era_of(since):
+            return None
+        query: dict[str, Any] = {
+            "Watch": revisions.store_revision_of(since),
+            "WaitMs": wait_ms,
+        }
         if allow_stale:
             query["AllowStale"] = 1
-        status, data = self._call(
-            "watch",
-            "GET",
-            _path(kind),
-            query=query,
-            read_timeout_s=wait_ms / 1000 + WATCH_MARGIN_S,
-        )
-        if status == 410:
+        waiting = greenlet.getcurrent()
+        self._watching.add(waiting)
+        try:
+            answer = self._call(
+                "watch",
+                "GET",
+                _path(kind),
+                query=query,
+                read_timeout_s=wait_ms / 1000 + WATCH_MARGIN_S,
+            )
+        except _NewEraError:
             return None
-        events = self._decode("watch", data, _Events)
+        finally:
+            self._watching.discard(waiting)
+        # In a new era, the store may have given out ``since`` again, and
+        # answers with changes of another history.
+        if answer.status == 410 or answer.era != revisions.era_of(since):
+            return None
+        events = self._decode("watch", answer, _Events)
         changes: list[Change] = []
         for event in events.events:
             changes.extend(
                 Change(item, event.deleted)
-                for item in self._decode_objects([event.object])
+                for item in self._decode_objects([event.object], answer)
             )
-        return Changes(events.revision, changes)
+        revision = self._qualify("watch", events.revision, answer)
+        return Changes(revision, changes)
+
+    def expect_era(self, era: int) -> None:
+        """Ends waiting watches once if another daemon has seen a newer era.
+
+        Their next answers show whether the store has begun that era.
+        """
+        if era > max(self.era, self._announced_era):
+            self._announced_era = era
+            self._end_watches()
 
     def create(self, kind: str, name: str, value: Any) -> Object:
         """Creates an object.
@@ -257,14 +316,21 @@
             revision: Revision that the object must have, or None for any.
 
         Raises:
-            ConflictError: The object has another revision or does not exist.
+            ConflictError: The object has another revision or does not exist,
+                or the store has begun a new era.
             PlatformUnavailableError: As for ``create``.
         """
         meta: dict[str, Any] = {"Name": name}
         if revision is not None:
-            meta["Revision"] = revision
+            self._check_era(kind, name, revision, self.era)
+            meta["Revision"] = revisions.store_revision_of(revision)
         body = {"meta": meta, "spec": value}
-        return self._write("put", "PUT", kind, name, body)
+        written = self._write("put", "PUT", kind, name, body)
+        if revision is not None:
+            self._check_era(
+                kind, name, revision, revisions.era_of(written.revision)
+            )
+        return written
 
     def delete(
         self, kind: str, name: str, *, revision: int | None = None
@@ -272,15 +338,28 @@
         """Deletes an object; does nothing if it does not exist.
 
         Raises:
-            ConflictError: The object has another revision.
+            ConflictError: The object has another revision, or the store has
+                begun a new era.
             PlatformUnavailableError: As for ``create``.
         """
-        query = {"Revision": revision} if revision is not None else {}
-        status, data = self._call(
-            "delete", "DELETE", _path(kind, name), query=query
-        )
-        if status == 409:
-            raise self._conflict(kind, name, data)
+        query: dict[str, Any] = {}
+        if revision is not None:
+            self._check_era(kind, name, revision, self.era)
+            query["Revision"] = revisions.store_revision_of(revision)
+        answer = self._call("delete", "DELETE", _path(kind, name), query=query)
+        if answer.status == 409:
+            raise self._conflict(kind, name, answer)
+        if revision is not None:
+            self._check_era(kind, name, revision, answer.era)
+
+    def _check_era(self, kind: str, name: str, revision: int, era: int) -> None:
+        """Refuses a condition on a revision of an earlier era.
+
+        The store may have given the revision out again, so that the condition
+        can hold for another state of the object.
+        """
+        if era > revisions.era_of(revision):
+            raise errors.StoreRestoredError(f"{kind}/{name}")
 
     def _write(
         self,
@@ -292,29 +371,23 @@
         *,
         path: str = "",
     ) -> Object:
-        status, data = self._call(
-            call, method, path or _path(kind, name), body=body
-        )
-        if status == 404:
+        answer = self._call(call, method, path or _path(kind, name), body=body)
+        if answer.status == 404:
             raise errors.ConflictError(f"{kind}/{name}", 0)
-        if status == 409:
-            raise self._conflict(kind, name, data)
-        return self._decode_object(call, data)
+        if answer.status == 409:
+            raise self._conflict(kind, name, answer)
+        return self._decode_object(call, answer)
 
     def _conflict(
-        self, kind: str, name: str, data: bytes
+        self, kind: str, name: str, answer: Answer
     ) -> errors.ConflictError:
-        found = self._decode_objects([msgspec.Raw(data)])
+        found = self._decode_objects([msgspec.Raw(answer.data)], answer)
         revision = found[0].revision if found else 0
         return errors.ConflictError(f"{kind}/{name}", revision)
 
-    def _list_page(
-        self, call: str, path: str, query: dict[str, Any]
-    ) -> _Listing:
-        _, data = self._call(call, "GET", path, query=query)
-        return self._decode(call, data, _Listing)
-
-    def _decode_objects(self, items: list[msgspec.Raw]) -> list[Object]:
+    def _decode_objects(
+        self, items: list[msgspec.Raw], answer: Answer
+    ) -> list[Object]:
         """Decodes objects; skips malformed items of other writers."""
         found: list[Object] = []
         for item in items:
@@ -323,7 +396,10 @@
             except (msgspec.MsgspecError, UnicodeDecodeError):
                 self.skipped += 1
                 continue
-            found.append(_new_object(decoded))
+            if 0 <= decoded.meta.revision <= revisions.MAX_STORE_REVISION:
+                found.append(_new_object(decoded, answer.era))
+            else:
+                self.skipped += 1
         return found
 
     def _last_name(self, items: list[msgspec.Raw]) -> str | None:
@@ -335,12 +411,20 @@
                 continue
         return None
 
-    def _decode_object(self, call: str, data: bytes) -> Object:
-        return _new_object(self._decode(call, data, _Object))
+    def _decode_object(self, call: str, answer: Answer) -> Object:
+        decoded = self._decode(call, answer, _Object)
+        self._qualify(call, decoded.meta.revision, answer)
+        return _new_object(decoded, answer.era)
 
-    def _decode(self, call: str, data: bytes, kind: type[Any]) -> Any:
+    def _qualify(self, call: str, store_revision: int, answer: Answer) -> int:
+        """Returns a revision with the era of the answer that contains it."""
+        if not 0 <= store_revision <= revisions.MAX_STORE_REVISION:
+            raise self._failure(call, f"revision {store_revision}")
+        return revisions.of_store(store_revision, era=answer.era)
+
+    def _decode(self, call: str, answer: Answer, kind: type[Any]) -> Any:
         try:
-            return msgspec.json.decode(data, type=kind)
+            return msgspec.json.decode(answer.data, type=kind)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             raise self._failure(call, "unreadable answer") from error
 
@@ -353,7 +437,7 @@
         query: dict[str, Any] | None = None,
         body: dict[str, Any] | None = None,
         read_timeout_s: float = READ_TIMEOUT_S,
-    ) -> tuple[int, bytes]:
+    ) -> Answer:
         # Imported on the first call, so that a restarted agent carries packets
         # before it loads the HTTP client.
         import urllib3  # noqa: PLC0415
@@ -393,19 +477,39 @@
             raise self._failure(call, "no answer in time") from error
         finally:
             call_timeout.cancel()
-        self._on_era(response.headers.get(ERA_HEADER, ""))
+        era = self._read_era(call, response.headers.get(ERA_HEADER))
         if response.status not in (200, 201, 404, 409, 410):
             raise self._failure(call, f"status {response.status}")
-        return response.status, data
+        if era < self.era:
+            raise self._failure(call, f"answer of era {era} after {self.era}")
+        return Answer(response.status, data, era)
+
+    def _read_era(self, call: str, header: str | None) -> int:
+        """Returns the era of an answer, and ends the watches of earlier eras.
 
-    def _on_era(self, header: str) -> None:
-        """Records the era of an answer; ignores a missing or invalid one."""
-        if not header.isascii() or not header.isdecimal():
-            return
-        era = int(header)
+        An answer without the header is taken as one of the newest era.
+        """
+        if header is None:
+            return max(self.era, revisions.FIRST_ERA)
+        is_number = header.isascii() and header.isdecimal()
+        era = int(header) if is_number and len(header) <= MAX_ERA_DIGITS else 0
+        if not revisions.FIRST_ERA <= era <= revisions.MAX_ERA:
+            raise self._failure(call, f"era {header[:20]!r}")
         if era > self.era:
             self.restores += self.era > 0
             self.era = era
+            self._end_watches()
+        return era
+
+    def _end_watches(self) -> None:
+        """Ends the watches that wait in other green threads."""
+
+        def end(waiting: greenlet.greenlet) -> None:
+            if waiting in self._watching:
+                waiting.throw(_NewEraError())
+
+        for waiting in self._watching - {greenlet.getcurrent()}:
+            eventlet.hubs.get_hub().schedule_call_global(0, end, waiting)
 
     def _new_pool(self) -> Any:
         import urllib3  # noqa: PLC0415
@@ -436,8 +540,9 @@
         return errors.PlatformUnavailableError(f"platform: {call}: {reason}")
 
 
-def _new_object(decoded: _Object) -> Object:
-    return Object(decoded.meta.name, decoded.meta.revision, decoded.spec)
+def _new_object(decoded: _Object, era: int) -> Object:
+    revision = revisions.of_store(decoded.meta.revision, era=era)
+    return Object(decoded.meta.name, revision, decoded.spec)
 
 
 def _path(kind: str, name: str = "") -> str:
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -38,7 +38,8 @@
 
     def _call(self, call: str, *args: Any, **options: Any) -> Any:
         page = self.pages[options["query"].get("after", "")]
-        return 200, json.dumps({"CurrentRev": 9} | page).encode()
+        data = json.dumps({"CurrentRev": 9} | page).encode()
+        return store.Answer(200, data, era=1)
 
 
 class TestLists:
