Order configurations by the operators' version

What callers could see: after the store's return, balancers that read it before the operators have written again take up the copy's configuration, so that a route added before the return is refused and a dropped one is served; a balancer that starts then keeps the older one until the operators' write.

Cause: the store's revision decided which configuration is newer, but the return gives an older version a newer revision. Operators increase the version with each change, so the version decides now, in balancers, in what they tell each other and agents, and in agents; the revision only decides between writes of one version. A version of 0 is one of an earlier release, whose revision decides as before. A balancer that has just started and hears of a newer version than the store's fetches it at once.

--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -13,6 +13,7 @@
 from sapphirelift import deployment
 from sapphirelift import errors
 from sapphirelift import tasks
+from sapphirelift.core import revisions
 from sapphirelift.core.l4 import balancer as balancer_module
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import routes
@@ -24,6 +25,8 @@
 from sapphirelift.platform import store as store_module
 
 GOSSIP_INTERVAL_S = 0.5
+# Source, in logs, of state that no other daemon has sent.
+STORE = "store"
 REPLICA_PATH = "/replica"
 FETCH_TIMEOUT_S = 1.0
 # The fabric takes a balancer out of rotation after two failed readiness
@@ -59,6 +62,7 @@
         )
         self._replica_state: dict[str, Any] = {}
         self._is_fetching = False
+        self._refused_revision = 0
         self._http = urllib3.PoolManager(retries=False, timeout=FETCH_TIMEOUT_S)
         self._caller_socket = datagrams.DatagramSocket(
             deployment.address(settings.packets),
@@ -168,29 +172,37 @@
     ) -> None:
         found = objects.get(configuration.CONFIGURATION_NAME)
         if found is not None:
-            self._apply_configuration(found.value, found.revision, "store")
+            self._apply_configuration(found.value, found.revision, STORE)
 
     def _apply_configuration(
         self, value: Any, revision: int, source: str
     ) -> None:
-        if revision < self.core.configuration.revision:
+        in_force = self.core.configuration
+        version = configuration.version_of(value)
+        is_refused = source == STORE and revision == self._refused_revision
+        if revision == in_force.revision or is_refused:
+            return
+        if version and not in_force.is_replaced_by(
+            version=version, revision=revision
+        ):
+            self._note_refusal(revision, source)
             self.log.write(
                 "configuration_not_newer",
-                revision=revision,
-                revision_in_force=self.core.configuration.revision,
-                version=configuration.version_of(value),
-                version_in_force=self.core.configuration.version,
-                era=self.store.era,
+                version=version,
+                version_in_force=in_force.version,
+                revision=revisions.store_revision_of(revision),
+                era=revisions.era_of(revision),
                 source=source,
             )
-        if revision <= self.core.configuration.revision:
             return
         try:
             decoded = configuration.decode(value, revision)
         except errors.ConfigurationError as error:
+            self._note_refusal(revision, source)
             self.log.write(
                 "configuration_refused",
-                revision=revision,
+                revision=revisions.store_revision_of(revision),
+                era=revisions.era_of(revision),
                 source=source,
                 reason=str(error),
             )
@@ -202,11 +214,16 @@
         self.core.set_configuration(decoded, clock.now_ms(), source=source)
         self.perform()
 
+    def _note_refusal(self, revision: int, source: str) -> None:
+        """Keeps the store's other answers from repeating a refusal."""
+        if source == STORE:
+            self._refused_revision = revision
+
     def _on_evacuations(
         self, objects: dict[str, store_module.Object], revision: int
     ) -> None:
         self.core.set_evacuations(
-            routes.Evacuations(revision, frozenset(objects)), source="store"
+            routes.Evacuations(revision, frozenset(objects)), source=STORE
         )
         self.perform()
 
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -7,6 +7,7 @@
 import collections
 from typing import NamedTuple
 
+from sapphirelift.core import revisions
 from sapphirelift.core.l4 import actions
 from sapphirelift.core.l4 import agents
 from sapphirelift.core.l4 import backend as backend_module
@@ -14,6 +15,7 @@
 from sapphirelift.core.l4 import heartbeats
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
 from sapphirelift.core.membership import freshness
 
@@ -106,7 +108,8 @@
         self._is_leaving = False
         self._is_evacuated = False
         self._evacuations_revision = 0
-        self._configuration_revision = 0
+        # Version and revision; the other values are kept where they are used.
+        self._configuration = routes.Configuration()
         self._max_flows = 0
         self._idle_timeout_ms = 15_000
         self._heartbeat_number = 0
@@ -143,7 +146,8 @@
             "has_full_table": self._has_full_table,
             "is_evacuated": self._is_evacuated,
             "evacuations_revision": self._evacuations_revision,
-            "configuration_revision": self._configuration_revision,
+            "configuration_revision": self._configuration.revision,
+            "configuration_version": self._configuration.version,
             "backend": self.backend.report,
         }
 
@@ -783,14 +787,24 @@
         )
         for address in ack.balancers:
             self.add_balancer(address, now_ms)
-        if ack.configuration_revision > self._configuration_revision:
-            self._configuration_revision = ack.configuration_revision
+        if self._configuration.is_replaced_by(
+            version=ack.configuration_version,
+            revision=ack.configuration_revision,
+        ):
+            self._configuration = routes.Configuration(
+                revision=ack.configuration_revision,
+                version=ack.configuration_version,
+            )
             self.backend.cold_opens_per_s = ack.cold_opens_per_s
             self._max_flows = ack.max_flows
             self._idle_timeout_ms = ack.idle_timeout_ms
             self._log(
                 "configuration_in_force",
-                revision=ack.configuration_revision,
+                version=ack.configuration_version,
+                revision=revisions.store_revision_of(
+                    ack.configuration_revision
+                ),
+                era=revisions.era_of(ack.configuration_revision),
                 cold_opens_per_s=ack.cold_opens_per_s,
                 idle_timeout_ms=ack.idle_timeout_ms,
             )
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -9,6 +9,7 @@
 import random
 from typing import NamedTuple
 
+from sapphirelift.core import revisions
 from sapphirelift.core.l4 import actions
 from sapphirelift.core.l4 import agents
 from sapphirelift.core.l4 import lookup
@@ -118,6 +119,7 @@
     """A peer that has announced state that this balancer lacks."""
 
     address: messages.Address
+    configuration_version: int
     configuration_revision: int
     has_directory: bool
     since_ms: int
@@ -248,13 +250,15 @@
     def set_configuration(
         self, configuration: routes.Configuration, now_ms: int, *, source: str
     ) -> bool:
-        """Applies a configuration if it is newer than the current one.
+        """Applies a configuration if it takes the place of the current one.
 
         Returns:
             Whether it has been applied.
         """
         current = self.configuration
-        if configuration.revision <= current.revision:
+        if not current.is_replaced_by(
+            version=configuration.version, revision=configuration.revision
+        ):
             return False
         for key in current.routes.keys() - configuration.routes.keys():
             self._removed_routes[key] = now_ms
@@ -264,8 +268,9 @@
         self._log(
             "configuration_in_force",
             version=configuration.version,
-            revision=configuration.revision,
-            former_revision=current.revision,
+            former_version=current.version,
+            revision=revisions.store_revision_of(configuration.revision),
+            era=revisions.era_of(configuration.revision),
             routes=len(configuration.routes),
             source=source,
         )
@@ -365,7 +370,7 @@
                 reason="no_agent",
                 service=service,
                 known_agents=len(self.agents.of_services([service])),
-                configuration_revision=self.configuration.revision,
+                configuration_version=self.configuration.version,
             )
             self._reset(received)
             return
@@ -393,7 +398,7 @@
             load_age_ms=now_ms - best.last_heard_ms,
             is_local=best.heartbeat.data_centre == self._data_centre,
             choices=len(watched) or len(found),
-            configuration_revision=self.configuration.revision,
+            configuration_version=self.configuration.version,
         )
         self._send_open(opening)
 
@@ -463,7 +468,7 @@
             "open_refused",
             flow=str(received.flow),
             reason="no_route",
-            configuration_revision=self.configuration.revision,
+            configuration_version=self.configuration.version,
         )
         self._reset(received)
 
@@ -1014,6 +1019,9 @@
             is_leaving=self.is_leaving,
             interval_ms=self._choose_interval_ms(heartbeat.address),
             number=heartbeat.number if is_answer else 0,
+            configuration_version=(
+                self.configuration.version if service is not None else 0
+            ),
         )
         self._actions.append(actions.SendDaemon(heartbeat.address, ack))
 
@@ -1063,28 +1071,29 @@
         agent.on_asked(now_ms)
         self._send_hello(agent.address)
 
-    def _on_revisions(self, revisions: messages.Revisions, now_ms: int) -> None:
-        sender = revisions.balancer
+    def _on_revisions(self, announced: messages.Revisions, now_ms: int) -> None:
+        sender = announced.balancer
         if sender not in self.peers:
             self.add_peer(sender, now_ms)
         self.peers[sender] = now_ms
-        for address in revisions.agents:
+        for address in announced.agents:
             self.add_agent(address, now_ms)
-        if not revisions.is_reply:
-            self._send_revisions(sender, is_reply=True, number=revisions.number)
+        if not announced.is_reply:
+            self._send_revisions(sender, is_reply=True, number=announced.number)
         self.set_evacuations(
             routes.Evacuations(
-                revisions.evacuations_revision, frozenset(revisions.evacuated)
+                announced.evacuations_revision, frozenset(announced.evacuated)
             ),
             source=sender.ip,
         )
         newer = _NewerReplica(
-            revisions.replica,
-            revisions.configuration_revision,
-            revisions.has_directory,
+            announced.replica,
+            announced.configuration_version,
+            announced.configuration_revision,
+            announced.has_directory,
             now_ms,
         )
-        if revisions.is_reply and revisions.number > self._resumed_number:
+        if announced.is_reply and announced.number > self._resumed_number:
             self._freshness.confirm()
         if not self._lacks(newer):
             return
@@ -1095,8 +1104,14 @@
 
     def _lacks(self, newer: _NewerReplica) -> bool:
         """Returns whether a peer has state that this balancer lacks."""
-        return newer.configuration_revision > self.configuration.revision or (
-            newer.has_directory and not self.has_directory
+        lacks_directory = newer.has_directory and not self.has_directory
+        current = self.configuration
+        if current.revision and newer.configuration_version == current.version:
+            # Written again after the store's return, at another revision.
+            return lacks_directory
+        return lacks_directory or current.is_replaced_by(
+            version=newer.configuration_version,
+            revision=newer.configuration_revision,
         )
 
     def _fetch_newer_replica(self, now_ms: int) -> None:
@@ -1109,11 +1124,25 @@
         elif (
             not self.is_store_connected
             or now_ms - newer.since_ms >= FETCH_GRACE_MS
+            or self._has_started_with_older(newer, now_ms)
         ):
             self._newer_replica = None
             self.counters["replicas_fetched"] += 1
             self._actions.append(actions.FetchReplica(newer.address))
 
+    def _has_started_with_older(
+        self, newer: _NewerReplica, now_ms: int
+    ) -> bool:
+        """Returns whether the store had an older configuration at the start.
+
+        It has returned from an older copy, and the operators have yet to write
+        the newer configuration again.
+        """
+        return (
+            0 < self.configuration.version < newer.configuration_version
+            and now_ms - self._started_ms < SETTLE_MS
+        )
+
     def _send_revisions(
         self, address: messages.Address, *, is_reply: bool, number: int = 0
     ) -> None:
@@ -1133,6 +1162,7 @@
             has_directory=self.has_directory,
             is_reply=is_reply,
             number=number,
+            configuration_version=self.configuration.version,
         )
         self._actions.append(actions.SendDaemon(address, message))
 
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -265,6 +265,7 @@
             as it is.
         number: Number of the heartbeat that it acknowledges; 0 if it is not
             an answer.
+        configuration_version: Version of the service's values; 0 if unknown.
     """
 
     balancer: Address
@@ -278,6 +279,7 @@
     is_leaving: bool
     interval_ms: int = 0
     number: int = 0
+    configuration_version: int = 0
 
 
 class Hello(NamedTuple):
@@ -307,6 +309,7 @@
         has_directory: Whether its replica lists all agents.
         is_reply: Whether this is a reply, which needs no answer.
         number: Number chosen by the balancer that asks; a reply repeats it.
+        configuration_version: Version of its configuration; 0 if unknown.
     """
 
     balancer: Address
@@ -318,6 +321,7 @@
     has_directory: bool
     is_reply: bool
     number: int = 0
+    configuration_version: int = 0
 
 
 Message = (
--- a/sapphirelift/core/l4/routes.py
+++ b/sapphirelift/core/l4/routes.py
@@ -101,6 +101,22 @@
     services: Mapping[str, Service] = dataclasses.field(default_factory=dict)
     idle_timeout_ms: int = 15_000
 
+    def is_replaced_by(self, *, version: int, revision: int) -> bool:
+        """Returns whether another configuration takes its place.
+
+        Operators increase the version with each change. After its return from
+        an older copy, the store holds an older version for a moment, at a newer
+        revision.
+
+        Args:
+            version: Version of the other one; 0 if unknown, as from daemons of
+                earlier releases, which leaves the revisions to decide.
+            revision: Revision of the other one.
+        """
+        if not version:
+            return revision > self.revision
+        return (version, revision) > (self.version, self.revision)
+
     def find(self, flow: packet.FlowKey) -> Route | None:
         """Returns the route of a flow, or None."""
         return self.routes.get(RouteKey(flow.route_ip, flow.route_port))
--- /dev/null
+++ b/tests/test_l4_restored.py
@@ -0,0 +1,153 @@
+"""Beliefs of packet daemons after the store's return from an older copy."""
+
+import dataclasses
+import random
+
+import pytest
+
+from sapphirelift.core import revisions
+from sapphirelift.core.l4 import actions
+from sapphirelift.core.l4 import agent
+from sapphirelift.core.l4 import balancer
+from sapphirelift.core.l4 import messages
+from sapphirelift.core.l4 import routes
+from sapphirelift.standins import packet_network
+
+OWN = messages.Address("10.1.0.1", 7720)
+PEER = messages.Address("10.1.0.2", 7720)
+REPLICA = messages.Address("10.1.0.2", 7735)
+NOW_MS = 1_000_000
+
+
+def restored(store_revision: int) -> int:
+    """Returns a revision of the second era."""
+    return revisions.of_store(store_revision, era=2)
+
+
+def configuration(*, version: int, revision: int) -> routes.Configuration:
+    """Returns a configuration with one route."""
+    return dataclasses.replace(
+        packet_network.configuration(version),
+        revision=revision,
+        version=version,
+    )
+
+
+def new_balancer(*, now_ms: int = NOW_MS) -> balancer.Balancer:
+    """Returns a balancer without a configuration."""
+    core = balancer.Balancer(
+        address=OWN,
+        replica=messages.Address(OWN.ip, 7735),
+        now_ms=now_ms,
+        rng=random.Random(1),
+    )
+    core.has_directory = True
+    return core
+
+
+def revisions_of_peer(
+    *,
+    version: int = 0,
+    revision: int = 0,
+    evacuations: routes.Evacuations | None = None,
+) -> messages.Revisions:
+    """Returns what a peer announces."""
+    evacuations = evacuations or routes.Evacuations()
+    return messages.Revisions(
+        balancer=PEER,
+        replica=REPLICA,
+        configuration_revision=revision,
+        evacuations_revision=evacuations.revision,
+        evacuated=tuple(sorted(evacuations.data_centres)),
+        agents=(),
+        has_directory=True,
+        is_reply=True,
+        configuration_version=version,
+    )
+
+
+def new_agent() -> agent.Agent:
+    """Returns an agent in data centre ``a``."""
+    return agent.Agent(
+        agent.Identity("agent", OWN, 1, "shop", "a", "region"),
+        report_interval_ms=1000,
+        started_unix_ms=NOW_MS,
+        is_first_start=True,
+        now_ms=NOW_MS,
+    )
+
+
+def ack(
+    *,
+    version: int = 0,
+    revision: int = 0,
+    max_flows: int = 0,
+    is_evacuated: bool = False,
+    evacuations_revision: int = 0,
+) -> messages.HeartbeatAck:
+    """Returns an acknowledgement of a balancer."""
+    return messages.HeartbeatAck(
+        balancer=PEER,
+        balancers=(),
+        configuration_revision=revision,
+        cold_opens_per_s=0.0,
+        max_flows=max_flows,
+        idle_timeout_ms=15_000,
+        is_evacuated=is_evacuated,
+        evacuations_revision=evacuations_revision,
+        is_leaving=False,
+        configuration_version=version,
+    )
+
+
+class TestConfiguration:
+    """Versions of operators, at revisions of two eras."""
+
+    def test_store_behind_the_version_in_force(self) -> None:
+        """Guards against a configuration that comes back older."""
+        core = new_balancer()
+        for version, revision, expected in (
+            (11, 20, 11),
+            (6, restored(18), 11),
+            (11, restored(19), 11),
+            (13, restored(20), 13),
+            (11, restored(25), 13),
+        ):
+            new = configuration(version=version, revision=revision)
+            core.set_configuration(new, NOW_MS, source="store")
+            assert core.configuration.version == expected
+
+    def test_peer_with_an_older_version_at_a_newer_revision(self) -> None:
+        """Guards against balancers that fetch what the store has lost."""
+        core = new_balancer()
+        core.is_store_connected = False
+        new = configuration(version=11, revision=20)
+        core.set_configuration(new, NOW_MS, source="store")
+        for version, revision in ((6, restored(18)), (11, restored(19))):
+            announced = revisions_of_peer(version=version, revision=revision)
+            core.on_message(announced, NOW_MS)
+            decided = core.drain_actions()
+            assert actions.FetchReplica(REPLICA) not in decided
+
+    @pytest.mark.parametrize("age_ms", [0, balancer.SETTLE_MS])
+    def test_balancer_that_starts_while_the_store_is_behind(
+        self, age_ms: int
+    ) -> None:
+        """Guards against new balancers with a configuration of before."""
+        core = new_balancer()
+        older = configuration(version=6, revision=restored(18))
+        core.set_configuration(older, NOW_MS, source="store")
+        announced = revisions_of_peer(version=11, revision=20)
+        core.on_message(announced, NOW_MS + age_ms)
+        # A balancer that runs for longer waits for the store's watch first.
+        is_fetched = actions.FetchReplica(REPLICA) in core.drain_actions()
+        assert is_fetched == (age_ms == 0)
+
+    def test_agent_keeps_the_values_of_the_newest_version(self) -> None:
+        """Guards against limits that come back older."""
+        core = new_agent()
+        core.on_ack(ack(version=11, revision=20, max_flows=50), NOW_MS)
+        core.on_ack(ack(version=6, revision=restored(18), max_flows=7), NOW_MS)
+        assert core._max_flows == 50
+        core.on_ack(ack(version=13, revision=restored(20), max_flows=9), NOW_MS)
+        assert core._max_flows == 9
