Keep evacuations over the store's return until its contents are settled

What callers could see: new flows into an evacuated data centre, or none in one that is back. The store's copy may lack an evacuation that is in force, or hold one that has ended, until the operators write again (within about 2 s), and an evacuation has no version that could decide.

Contents of an era count as settled 3 s after a daemon's first answer of it. Until then evacuations are only added to those in force; a settled set takes their place, whoever settles first, and travels with the revisions of balancers and with acknowledgements to agents. A balancer that starts has no memory, so its first list is unsettled too and ends nothing at its peers. Balancers also end a watch that waits in a former era when a peer has seen a newer one.

--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -22,7 +22,6 @@
 from sapphirelift.platform import dispatch
 from sapphirelift.platform import http
 from sapphirelift.platform import packets
-from sapphirelift.platform import store as store_module
 
 GOSSIP_INTERVAL_S = 0.5
 # Source, in logs, of state that no other daemon has sent.
@@ -78,16 +77,25 @@
             self._follow(
                 configuration.CONFIGURATION_KIND, self._on_configuration
             ),
-            self._follow(configuration.EVACUATION_KIND, self._on_evacuations),
+            self._follow(
+                configuration.EVACUATION_KIND,
+                self._on_evacuations,
+                settle_ms=revisions.REWRITE_MS,
+            ),
         ]
 
     def _follow(
-        self, kind: str, on_objects: _store_follower.OnObjects
+        self,
+        kind: str,
+        on_objects: _store_follower.OnObjects,
+        *,
+        settle_ms: int = 0,
     ) -> _store_follower.StoreFollower:
         return _store_follower.StoreFollower(
             self.store,
             kind,
             on_objects=on_objects,
+            settle_ms=settle_ms,
             balancers=lambda: len(self.core.peers) + 1,
             log=self.log,
             rng=self.rng,
@@ -164,13 +172,13 @@
             DatagramError: The message carries a packet that cannot be decoded.
         """
         dispatch.to_balancer(self.core, message, source, clock.now_ms())
+        # A watch can wait in silence, in a history that has ended.
+        self.store.expect_era(revisions.era_of(self.core.evacuations.revision))
 
     # Configuration and evacuations.
 
-    def _on_configuration(
-        self, objects: dict[str, store_module.Object], revision: int
-    ) -> None:
-        found = objects.get(configuration.CONFIGURATION_NAME)
+    def _on_configuration(self, contents: _store_follower.Contents) -> None:
+        found = contents.objects.get(configuration.CONFIGURATION_NAME)
         if found is not None:
             self._apply_configuration(found.value, found.revision, STORE)
 
@@ -219,11 +227,14 @@
         if source == STORE:
             self._refused_revision = revision
 
-    def _on_evacuations(
-        self, objects: dict[str, store_module.Object], revision: int
-    ) -> None:
+    def _on_evacuations(self, contents: _store_follower.Contents) -> None:
         self.core.set_evacuations(
-            routes.Evacuations(revision, frozenset(objects)), source=STORE
+            routes.Evacuations(
+                contents.revision,
+                frozenset(contents.objects),
+                contents.is_settled,
+            ),
+            source=STORE,
         )
         self.perform()
 
--- a/sapphirelift/_store_follower.py
+++ b/sapphirelift/_store_follower.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from typing import Any
+from typing import NamedTuple
 
 import eventlet
 
@@ -14,9 +15,6 @@
 from sapphirelift.core.requests import backoff
 from sapphirelift.platform import store as store_module
 
-# Objects by name with their revision and value, and the store's revision.
-OnObjects = Callable[[dict[str, store_module.Object], int], None]
-
 # A connection can stop answering without an error. The balancers renew their
 # watches at different times, so that a change still reaches one of them soon,
 # and the others through it.
@@ -26,6 +24,24 @@
 MAX_DELAY_S = 2.0
 
 
+class Contents(NamedTuple):
+    """The store's objects of one kind.
+
+    Attributes:
+        objects: Objects by name.
+        revision: Revision up to which all changes are included.
+        is_settled: Whether other writers had time to write again what the
+            store may have lost at the beginning of its era.
+    """
+
+    objects: dict[str, store_module.Object]
+    revision: int
+    is_settled: bool
+
+
+OnObjects = Callable[[Contents], None]
+
+
 def wait_ms(balancers: int, rng: random.Random) -> int:
     """Returns the duration of a watch, with jitter.
 
@@ -52,19 +68,35 @@
         kind: str,
         *,
         on_objects: OnObjects,
+        settle_ms: int,
         balancers: Callable[[], int],
         log: decision_log.DecisionLog,
         rng: random.Random,
     ) -> None:
+        """Creates a follower; ``start`` begins to follow.
+
+        Args:
+            store: Client of the store.
+            kind: Kind of the objects.
+            on_objects: Called with the objects after each answer.
+            settle_ms: Time after the first answer of an era until its contents
+                count as settled.
+            balancers: Returns the number of balancers that watch the store.
+            log: Log of lost and regained connections.
+            rng: Source of jitter.
+        """
         self.is_connected = True
         self._store = store
         self._kind = kind
         self._on_objects = on_objects
+        self._settle_ms = settle_ms
         self._balancers = balancers
         self._log = log
         self._rng = rng
         self._objects: dict[str, store_module.Object] = {}
         self._revision: int | None = None
+        self._era = 0
+        self._settles_ms = 0
         self._last_answer_ms = clock.now_ms()
 
     def start(self) -> None:
@@ -101,18 +133,16 @@
                     default=0,
                 ),
             )
-            self._on_objects(self._objects, self._revision)
+            era = revisions.era_of(listing.revision)
+            if era > self._era:
+                self._era = era
+                self._settles_ms = clock.now_ms() + self._settle_ms
+            self._pass_on()
             return
         answer = self._store.watch(
             self._kind,
             since=self._revision,
-            # After an outage, the first answer tells at once whether the store
-            # has returned from an older copy meanwhile.
-            wait_ms=(
-                wait_ms(self._balancers(), self._rng)
-                if self.is_connected
-                else 0
-            ),
+            wait_ms=self._next_wait_ms(),
         )
         if answer is None:
             self._log.write(
@@ -130,7 +160,21 @@
             else:
                 self._objects[change.object.name] = change.object
         self._revision = max(answer.revision, self._revision)
-        self._on_objects(self._objects, self._revision)
+        self._pass_on()
+
+    def _next_wait_ms(self) -> int:
+        # After an outage, the first answer tells at once whether the store has
+        # returned from an older copy meanwhile.
+        if not self.is_connected:
+            return 0
+        longest_ms = wait_ms(self._balancers(), self._rng)
+        unsettled_ms = self._settles_ms - clock.now_ms()
+        return min(longest_ms, unsettled_ms) if unsettled_ms > 0 else longest_ms
+
+    def _pass_on(self) -> None:
+        assert self._revision is not None
+        is_settled = clock.now_ms() >= self._settles_ms
+        self._on_objects(Contents(self._objects, self._revision, is_settled))
 
     def _set_connected(self, is_connected: bool, **fields: Any) -> None:
         now_ms = clock.now_ms()
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -106,8 +106,8 @@
         self._started_unix_ms = started_unix_ms
         self._has_full_table = is_first_start
         self._is_leaving = False
-        self._is_evacuated = False
-        self._evacuations_revision = 0
+        # Names its own data centre at most.
+        self._evacuations = routes.Evacuations()
         # Version and revision; the other values are kept where they are used.
         self._configuration = routes.Configuration()
         self._max_flows = 0
@@ -145,7 +145,7 @@
             "balancers": len(self.balancers),
             "has_full_table": self._has_full_table,
             "is_evacuated": self._is_evacuated,
-            "evacuations_revision": self._evacuations_revision,
+            "evacuations_revision": self._evacuations.revision,
             "configuration_revision": self._configuration.revision,
             "configuration_version": self._configuration.version,
             "backend": self.backend.report,
@@ -808,14 +808,28 @@
                 cold_opens_per_s=ack.cold_opens_per_s,
                 idle_timeout_ms=ack.idle_timeout_ms,
             )
-        if ack.evacuations_revision > self._evacuations_revision:
-            self._evacuations_revision = ack.evacuations_revision
-            self._set_evacuated(ack.is_evacuated, now_ms)
+        own = self.identity.data_centre
+        self._set_evacuations(
+            routes.Evacuations(
+                ack.evacuations_revision,
+                frozenset({own} if ack.is_evacuated else ()),
+                ack.is_settled,
+            ),
+            now_ms,
+        )
 
-    def _set_evacuated(self, is_evacuated: bool, now_ms: int) -> None:
-        if is_evacuated == self._is_evacuated:
+    @property
+    def _is_evacuated(self) -> bool:
+        return self.identity.data_centre in self._evacuations.data_centres
+
+    def _set_evacuations(
+        self, received: routes.Evacuations, now_ms: int
+    ) -> None:
+        was_evacuated = self._is_evacuated
+        self._evacuations = self._evacuations.updated(received)
+        is_evacuated = self._is_evacuated
+        if is_evacuated == was_evacuated:
             return
-        self._is_evacuated = is_evacuated
         if not is_evacuated:
             # The backend server may have become cold during the evacuation
             # and not reported it yet.
@@ -823,7 +837,8 @@
         self._log(
             "evacuated" if is_evacuated else "evacuation_ended",
             data_centre=self.identity.data_centre,
-            revision=self._evacuations_revision,
+            revision=revisions.store_revision_of(self._evacuations.revision),
+            era=revisions.era_of(self._evacuations.revision),
         )
 
     def has_heard_balancer(self, now_ms: int) -> bool:
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -283,21 +283,21 @@
         """Applies a set of evacuations if it is newer than the current one.
 
         Returns:
-            Whether it has been applied.
+            Whether what is in force has changed.
         """
         current = self.evacuations
-        if evacuations.revision <= current.revision:
+        updated = current.updated(evacuations)
+        if updated == current:
             return False
-        self.evacuations = evacuations
+        self.evacuations = updated
         self.watch.invalidate()
-        if (
-            evacuations.data_centres != current.data_centres
-            or not current.revision
-        ):
+        if updated.data_centres != current.data_centres or not current.revision:
             self._log(
                 "evacuations_in_force",
-                data_centres=sorted(evacuations.data_centres),
-                revision=evacuations.revision,
+                data_centres=sorted(updated.data_centres),
+                revision=revisions.store_revision_of(updated.revision),
+                era=revisions.era_of(updated.revision),
+                is_settled=updated.is_settled,
                 source=source,
             )
             self._announce_change()
@@ -1022,6 +1022,7 @@
             configuration_version=(
                 self.configuration.version if service is not None else 0
             ),
+            is_settled=self.evacuations.is_settled,
         )
         self._actions.append(actions.SendDaemon(heartbeat.address, ack))
 
@@ -1082,7 +1083,9 @@
             self._send_revisions(sender, is_reply=True, number=announced.number)
         self.set_evacuations(
             routes.Evacuations(
-                announced.evacuations_revision, frozenset(announced.evacuated)
+                announced.evacuations_revision,
+                frozenset(announced.evacuated),
+                announced.is_settled,
             ),
             source=sender.ip,
         )
@@ -1163,6 +1166,7 @@
             is_reply=is_reply,
             number=number,
             configuration_version=self.configuration.version,
+            is_settled=self.evacuations.is_settled,
         )
         self._actions.append(actions.SendDaemon(address, message))
 
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -266,6 +266,7 @@
         number: Number of the heartbeat that it acknowledges; 0 if it is not
             an answer.
         configuration_version: Version of the service's values; 0 if unknown.
+        is_settled: Whether ``is_evacuated`` is, see ``routes.Evacuations``.
     """
 
     balancer: Address
@@ -280,6 +281,7 @@
     interval_ms: int = 0
     number: int = 0
     configuration_version: int = 0
+    is_settled: bool = True
 
 
 class Hello(NamedTuple):
@@ -310,6 +312,7 @@
         is_reply: Whether this is a reply, which needs no answer.
         number: Number chosen by the balancer that asks; a reply repeats it.
         configuration_version: Version of its configuration; 0 if unknown.
+        is_settled: Whether ``evacuated`` is, see ``routes.Evacuations``.
     """
 
     balancer: Address
@@ -322,6 +325,7 @@
     is_reply: bool
     number: int = 0
     configuration_version: int = 0
+    is_settled: bool = True
 
 
 Message = (
--- a/sapphirelift/core/l4/routes.py
+++ b/sapphirelift/core/l4/routes.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from sapphirelift.core import revisions
 from sapphirelift.core.l4 import packet
 
 
@@ -129,7 +130,43 @@
         revision: Revision of the store at which they were read; 0 for
             unknown. It also increases without changes of the evacuations.
         data_centres: Names of the evacuated data centres.
+        is_settled: Whether the operators had time to write again what the
+            store lost at the beginning of its era. Until then, a missing
+            evacuation may be lost instead of ended.
     """
 
     revision: int = 0
     data_centres: frozenset[str] = frozenset()
+    is_settled: bool = True
+
+    def updated(self, received: "Evacuations") -> "Evacuations":
+        """Returns what is in force after others have been received.
+
+        Until an era is settled, evacuations are only added to those in force.
+
+        >>> before = Evacuations(20, frozenset({"a"}))
+        >>> restored = Evacuations(
+        ...     revisions.of_store(18, era=2), is_settled=False
+        ... )
+        >>> sorted(before.updated(restored).data_centres)
+        ['a']
+        >>> settled = restored._replace(is_settled=True)
+        >>> sorted(before.updated(settled).data_centres)
+        []
+        """
+        if not received.revision:
+            return self
+        if not self.revision:
+            return received
+        era = revisions.era_of(self.revision)
+        received_era = revisions.era_of(received.revision)
+        if (received_era, received.is_settled) < (era, self.is_settled):
+            return self
+        if not received.is_settled:
+            return Evacuations(
+                max(self.revision, received.revision),
+                self.data_centres | received.data_centres,
+                is_settled=False,
+            )
+        is_newer = received.revision > self.revision or not self.is_settled
+        return received if is_newer else self
--- a/tests/test_l4_restored.py
+++ b/tests/test_l4_restored.py
@@ -2,15 +2,20 @@
 
 import dataclasses
 import random
+from typing import Any
 
+import eventlet
 import pytest
 
+from sapphirelift import _store_follower
+from sapphirelift import decision_log
 from sapphirelift.core import revisions
 from sapphirelift.core.l4 import actions
 from sapphirelift.core.l4 import agent
 from sapphirelift.core.l4 import balancer
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import routes
+from sapphirelift.platform import store
 from sapphirelift.standins import packet_network
 
 OWN = messages.Address("10.1.0.1", 7720)
@@ -151,3 +156,142 @@
         assert core._max_flows == 50
         core.on_ack(ack(version=13, revision=restored(20), max_flows=9), NOW_MS)
         assert core._max_flows == 9
+
+
+A = frozenset({"a"})
+B = frozenset({"b"})
+NONE: frozenset[str] = frozenset()
+
+
+class TestEvacuations:
+    """Evacuations that the store has lost, or holds again."""
+
+    @pytest.mark.parametrize("source", ["store", "peer"])
+    def test_lost_evacuation_holds_until_the_era_is_settled(
+        self, source: str
+    ) -> None:
+        """Guards against new flows into an evacuated data centre."""
+        core = new_balancer()
+        core.set_evacuations(routes.Evacuations(20, A), source="store")
+        for revision, listed, is_settled, expected in (
+            (18, NONE, False, A),
+            (19, B, False, A | B),
+            (19, NONE, False, A | B),
+            (20, A, True, A),
+            # A peer whose grace time has not ended.
+            (25, B, False, A),
+            (21, NONE, True, NONE),
+            (20, A, True, NONE),
+        ):
+            received = routes.Evacuations(
+                restored(revision), listed, is_settled
+            )
+            if source == "store":
+                core.set_evacuations(received, source="store")
+            else:
+                announced = revisions_of_peer(evacuations=received)
+                core.on_message(
+                    announced._replace(is_settled=is_settled), NOW_MS
+                )
+            assert core.evacuations.data_centres == expected
+
+    def test_unknown_evacuations_settle_nothing(self) -> None:
+        """Guards against a starting peer that ends an evacuation."""
+        core = new_balancer()
+        core.set_evacuations(
+            routes.Evacuations(5, A, is_settled=False), source="store"
+        )
+        core.on_message(revisions_of_peer(), NOW_MS)
+        assert core.evacuations.data_centres == A
+
+    def test_agent_stays_evacuated_until_the_era_is_settled(self) -> None:
+        """Guards against an agent that takes flows of an older balancer."""
+        core = new_agent()
+        for revision, is_evacuated, is_settled, expected in (
+            (20, True, True, True),
+            (restored(18), False, False, True),
+            (restored(19), True, True, True),
+            (restored(18), False, True, True),
+            (restored(20), False, True, False),
+            (21, True, True, False),
+        ):
+            received = ack(
+                is_evacuated=is_evacuated, evacuations_revision=revision
+            )
+            core.on_ack(received._replace(is_settled=is_settled), NOW_MS)
+            assert core.dump(NOW_MS)["is_evacuated"] == expected
+
+
+class _EraStore:
+    """Store whose era the test sets.
+
+    Attributes:
+        wait_ms: Wait time of the last watch.
+    """
+
+    def __init__(self) -> None:
+        self.era = 1
+        self.wait_ms = -1
+
+    def list_kind(self, kind: str) -> store.Listing:
+        """Returns an empty list."""
+        del kind
+        return store.Listing(revisions.of_store(5, era=self.era), [])
+
+    def watch(
+        self, kind: str, *, since: int, wait_ms: int
+    ) -> store.Changes | None:
+        """Returns at once, without changes."""
+        del kind
+        self.wait_ms = wait_ms
+        if revisions.era_of(since) < self.era:
+            return None
+        return store.Changes(since, [])
+
+
+class TestFollower:
+    """Contents that may lack what other writers are about to repeat."""
+
+    def test_contents_settle_in_each_era(self) -> None:
+        """Guards against losses of the store that are taken for changes."""
+        fake: Any = _EraStore()
+        found: list[_store_follower.Contents] = []
+        follower = _store_follower.StoreFollower(
+            fake,
+            "evacuations",
+            on_objects=found.append,
+            settle_ms=200,
+            balancers=lambda: 1,
+            log=decision_log.DecisionLog(name="test"),
+            rng=random.Random(1),
+        )
+        for era in (1, 2):
+            fake.era = era
+            while not found or revisions.era_of(found[-1].revision) < era:
+                follower._step()
+            assert not found[-1].is_settled
+            follower._step()
+            # The next answer after this watch finds the contents settled.
+            assert 0 <= fake.wait_ms <= 200 or found[-1].is_settled
+            eventlet.sleep(0.2)
+            follower._step()
+            assert found[-1].is_settled
+
+    def test_first_watch_after_an_outage_does_not_wait(self) -> None:
+        """Guards against a new era that is noticed seconds later."""
+        fake: Any = _EraStore()
+        follower = _store_follower.StoreFollower(
+            fake,
+            "config",
+            on_objects=lambda contents: None,
+            settle_ms=0,
+            balancers=lambda: 1,
+            log=decision_log.DecisionLog(name="test"),
+            rng=random.Random(1),
+        )
+        follower._step()
+        follower._step()
+        assert fake.wait_ms > 0
+        follower._set_connected(False)
+        follower._step()
+        assert fake.wait_ms == 0
