Keep records over the store's return until the operators have written again

What callers could see with the caller protocol: a withdrawal, a drained server or a key written after the return was refused by all daemons, because its revision was not above those of before; with ordered revisions alone, the copy's older records would come into force instead, so that a withdrawn key or data centre is in use again. Members that the copy lacks were never announced again.

A daemon with records now takes the store's contents of a new era only 3 s after it has first heard of it, when the operators have written again what was lost. A daemon without records takes what there is; until 3 s later it tells neighbours that its replica is not settled, and those with records refuse it. Members announce themselves again, spread like after a lost data centre.

--- a/sapphirelift/_announcer.py
+++ b/sapphirelift/_announcer.py
@@ -76,11 +76,16 @@
         value = self._announcement()
         stored = change.value or {}
         is_newer = stored.get("incarnation", 0) > value["incarnation"]
-        if (
-            stored != value
-            and not is_newer
-            and not self._reannouncement_pending
-        ):
+        if stored != value and not is_newer:
+            self.announce_again(affected=affected)
+
+    def announce_again(self, *, affected: int) -> None:
+        """Announces again after a delay that spreads the members' writes.
+
+        Args:
+            affected: Number of members that announce themselves again.
+        """
+        if not self._reannouncement_pending:
             self._reannouncement_pending = True
             delay_s = self._rng.uniform(0, reannouncement_window_s(affected))
             eventlet.spawn_after(delay_s, self._reannounce)
--- a/sapphirelift/_node.py
+++ b/sapphirelift/_node.py
@@ -51,6 +51,7 @@
             on_changes=self.apply_changes,
             epoch=self.current_epoch,
             on_read=self.on_records_read,
+            on_new_era=self._repeat_announcement,
             rng=self.rng,
         )
         self.replica = self.sync.replica
@@ -254,6 +255,10 @@
             "state": self.state,
         }
 
+    def _repeat_announcement(self) -> None:
+        members = sum(1 for _ in self.replica.items(MEMBER_PREFIX))
+        self.announcer.announce_again(affected=members)
+
     def _run_heartbeats(self) -> None:
         while True:
             self.carry_out(self.members.tick(clock.now_ms()))
--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -13,6 +13,7 @@
 from sapphirelift import messages
 from sapphirelift import settings as settings_module
 from sapphirelift import tasks
+from sapphirelift.core import revisions
 from sapphirelift.core.records import replica
 from sapphirelift.core.requests import backoff
 from sapphirelift.core.requests import rate_limit
@@ -57,6 +58,7 @@
         on_changes: OnChanges,
         epoch: Callable[[], int] = lambda: 0,
         on_read: Callable[[int], None] = lambda epoch: None,
+        on_new_era: Callable[[], None] = lambda: None,
         rng: random.Random,
     ) -> None:
         """Creates an empty replica.
@@ -66,6 +68,8 @@
             on_changes: Applies changed objects.
             epoch: Returns a number that changes after the process was frozen.
             on_read: Called after a read with the epoch in which it began.
+            on_new_era: Called when the store has returned from an older copy
+                and may have lost what the daemon wrote.
             rng: Source of jitter.
         """
         self.replica = replica.Replica()
@@ -89,6 +93,9 @@
         self._on_changes = on_changes
         self._epoch = epoch
         self._on_read = on_read
+        self._on_new_era = on_new_era
+        self._era = 0
+        self._settles_ms = 0
         self._rng = rng
         self._fetching: set[messages.Address] = set()
         self._consecutive_older_reads = 0
@@ -128,7 +135,8 @@
                 if is_new:
                     delays.reset()
                 else:
-                    eventlet.sleep(delays.next_s())
+                    unsettled_s = (self._settles_ms - clock.now_ms()) / 1000
+                    eventlet.sleep(max(delays.next_s(), unsettled_s))
             except errors.PlatformUnavailableError:
                 if self.replica.revision == 0:
                     self._fetch_from_neighbours()
@@ -172,6 +180,8 @@
         Returns:
             False if the next read must wait for the backoff delay.
         """
+        if not self._is_usable(listing.revision):
+            return False
         lowest_revision = self.replica.revision
         if since is not None and not listing.complete:
             lowest_revision = since
@@ -195,6 +205,42 @@
             self._on_changes(changes)
         return not listing.complete or self.replica.revision > before
 
+    def _is_usable(self, revision: int) -> bool:
+        """Returns whether the store's contents may take the place of others.
+
+        At the beginning of an era, the store may hold older states of records
+        and lack others, until the operators have written them again. A daemon
+        without records takes what there is.
+        """
+        era = revisions.era_of(revision)
+        in_force = self.replica.revision
+        if era > self._era:
+            self._era = era
+            if in_force:
+                self._settles_ms = clock.now_ms() + revisions.REWRITE_MS
+                self.counters["store_restores"] += 1
+                eliot.log_message(
+                    "store_restored", era=era, revision_in_force=in_force
+                )
+                self._on_new_era()
+            else:
+                self.replica.is_settled = False
+                eventlet.spawn_after(
+                    revisions.REWRITE_MS / 1000, self._set_settled
+                )
+        is_same_era = era <= revisions.era_of(in_force)
+        is_settled = clock.now_ms() >= self._settles_ms
+        return not in_force or is_same_era or is_settled
+
+    def _note_era_of_neighbour(self, era: int) -> None:
+        """Records an era that a neighbour has found to be settled."""
+        if era > self._era and self.replica.revision:
+            self._era = era
+            self._on_new_era()
+
+    def _set_settled(self) -> None:
+        self.replica.is_settled = True
+
     def _read_unlisted(
         self, listing: client.Listing
     ) -> list[replica.StoredObject]:
@@ -299,6 +345,12 @@
         if difference.revision < self.replica.revision:
             self.counters["older_answers_refused"] += 1
             return False
+        era = revisions.era_of(difference.revision)
+        if era > revisions.era_of(self.replica.revision):
+            if self.replica.revision and not difference.is_settled:
+                self.counters["unsettled_answers_refused"] += 1
+                return False
+            self._note_era_of_neighbour(era)
         if difference.complete:
             changes = self.replica.replace(
                 difference.objects, revision=difference.revision, trusted=True
--- a/sapphirelift/core/records/replica.py
+++ b/sapphirelift/core/records/replica.py
@@ -31,11 +31,13 @@
         revision: Revision up to which all changes are included.
         complete: Whether ``objects`` is a full list of the live objects
             instead of the changes only.
+        is_settled: Whether the replica was, see ``Replica``.
     """
 
     revision: int
     objects: list[StoredObject]
     complete: bool
+    is_settled: bool = True
 
 
 class _State(NamedTuple):
@@ -116,12 +118,17 @@
 
     Each change replaces the state instead of modifying it in place, so that
     other threads always read a consistent state.
+
+    Attributes:
+        is_settled: Whether other writers had time to write again what the
+            store may have lost at the beginning of its era.
     """
 
     def __init__(self, *, max_tombstones: int = MAX_TOMBSTONES) -> None:
         self._state = _State({}, 0, 0, 0)
         self._unconfirmed: _UnconfirmedList | None = None
         self._max_tombstones = max_tombstones
+        self.is_settled = True
 
     @property
     def revision(self) -> int:
@@ -278,4 +285,4 @@
             for item in state.objects()
             if (item.value is not None if complete else item.revision > since)
         ]
-        return Difference(state.revision, objects, complete)
+        return Difference(state.revision, objects, complete, self.is_settled)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -16,6 +17,7 @@
 from sapphirelift import messages
 from sapphirelift import settings as settings_module
 from sapphirelift.callers import client as caller_client
+from sapphirelift.core import revisions
 from sapphirelift.core.records import replica
 from sapphirelift.core.requests import outcomes
 from sapphirelift.peers import records
@@ -241,6 +243,93 @@
         )
 
 
+def new_sync(
+    on_changes: Callable[[list[replica.StoredObject]], None],
+    on_new_era: Callable[[], None],
+) -> _record_sync.RecordSync:
+    """Returns the replica of a balancer that is not started."""
+    ports = [processes.free_port() for _ in range(3)]
+    public, peer, admin = ({"ip": "127.0.0.1", "port": p} for p in ports)
+    settings = {
+        "name": "balancer-9",
+        "role": "balancer",
+        "data_centre": "etela-a",
+        "peer": peer,
+        "public": public,
+        "admin": admin,
+        "platform_url": "http://127.0.0.1:1",
+        "cluster_key_hex": processes.CLUSTER_KEY_HEX,
+        "neighbours": [],
+    }
+    return _record_sync.RecordSync(
+        settings_module.parse(json.dumps(settings).encode()),
+        on_changes=on_changes,
+        on_new_era=on_new_era,
+        rng=random.Random(1),
+    )
+
+
+class TestUnsettledEra:
+    """Contents of the store that may be older than those in force."""
+
+    KEY = "records/keyring/cluster"
+
+    def keyring(self, key_id: int, revision: int) -> replica.StoredObject:
+        """Returns a keyring record."""
+        return replica.StoredObject(self.KEY, revision, {"current": key_id})
+
+    def test_withdrawn_key_stays_withdrawn(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against records of the copy that take a change back."""
+        now_ms = [1_000_000]
+        monkeypatch.setattr(_record_sync.clock, "now_ms", lambda: now_ms[0])
+        eras: list[int] = []
+        sync = new_sync(lambda changes: None, lambda: eras.append(1))
+
+        def list_keyring(key_id: int, store_revision: int, era: int) -> Any:
+            revision = revisions.of_store(store_revision, era=era)
+            listed = [self.keyring(key_id, revision)]
+            sync._apply_listing(client.Listing(revision, listed, complete=True))
+            found = sync.replica.get(self.KEY)
+            return found and found.value
+
+        assert list_keyring(2, 20, 1) == {"current": 2}
+        assert not eras
+        assert list_keyring(1, 18, 2) == {"current": 2}
+        assert list_keyring(1, 18, 2) == {"current": 2}
+        now_ms[0] += revisions.REWRITE_MS
+        assert list_keyring(2, 19, 2) == {"current": 2}
+        assert list_keyring(3, 20, 2) == {"current": 3}
+        assert len(eras) == 1
+
+    def test_neighbour_without_memory_reverts_nothing(self) -> None:
+        """Guards against records that a new daemon has read from the copy."""
+        eras: list[int] = []
+        sync = new_sync(lambda changes: None, lambda: eras.append(1))
+        sync._apply_listing(
+            client.Listing(20, [self.keyring(2, 20)], complete=True)
+        )
+        revision = revisions.of_store(18, era=2)
+        copied = [self.keyring(1, revision)]
+        for is_settled in (False, True):
+            sync._apply_difference(
+                replica.Difference(revision, copied, False, is_settled)
+            )
+            found = sync.replica.get(self.KEY)
+            assert found is not None
+            assert found.value == {"current": 1 if is_settled else 2}
+            assert len(eras) == is_settled
+
+    def test_daemon_without_records_is_unsettled_at_first(self) -> None:
+        """Guards against a new daemon that is taken for one with memory."""
+        sync = new_sync(lambda changes: None, lambda: None)
+        sync._apply_listing(
+            client.Listing(20, [self.keyring(2, 20)], complete=True)
+        )
+        assert not sync.replica.difference(0).is_settled
+
+
 class TestNeighbours:
     """Startup of an instance while the platform is down."""
 
