Wait for the lease's duration when the store may have lost it

What could happen: the store returns from a copy of before the lease was written, a second balancer finds none and takes it at once, while the first holds it for up to 6 s more: both write the status. Revisions that are given out again could also make a new lease look like the unchanged old one.

Once the store has ever returned from a copy, an observer that finds no lease waits for its whole duration, as for one that does not change; the holder's lease has ended by then, because it counts from its last accepted write.

tests/test_lease.py::TestLease::test_lease_that_the_store_has_lost fails without the waiting.

--- a/sapphirelift/_status_writer.py
+++ b/sapphirelift/_status_writer.py
@@ -85,7 +85,11 @@
         if self.lease.needs_read(clock.now_ms()):
             self._status_revision = None
             held = self._platform.get(LEASE_KEY)
-            self.lease.on_read(held, now_ms=clock.now_ms())
+            self.lease.on_read(
+                held,
+                now_ms=clock.now_ms(),
+                may_be_lost=self._platform.has_been_restored,
+            )
         started_ms = clock.now_ms()
         write = self.lease.attempt(started_ms)
         if write is None:
--- a/sapphirelift/core/membership/lease.py
+++ b/sapphirelift/core/membership/lease.py
@@ -4,6 +4,10 @@
 lease that has not changed for its whole duration, measured on the observer's
 own clock. The holder's lease expires earlier, because the holder counts from
 the start of its last accepted write.
+
+When the store has returned from an older copy, the lease may be missing there
+or be that of an earlier holder, while the last holder has not noticed yet. An
+observer therefore waits for the whole duration then, also if there is no lease.
 """
 
 from typing import Any
@@ -38,6 +42,7 @@
         self._incarnation = incarnation
         self._duration_ms = duration_ms
         self._revision = 0
+        self._must_wait = True
         self._unchanged_since_ms: int | None = None
         self._held_until_ms: int | None = None
 
@@ -50,9 +55,20 @@
         return not self.holds(now_ms)
 
     def on_read(
-        self, stored: replica.StoredObject | None, *, now_ms: int
+        self,
+        stored: replica.StoredObject | None,
+        *,
+        now_ms: int,
+        may_be_lost: bool = False,
     ) -> None:
-        """Processes the lease object as read; None if it does not exist."""
+        """Processes the lease object as read.
+
+        Args:
+            stored: The lease object, None if it does not exist.
+            now_ms: Current time.
+            may_be_lost: Whether the store may have lost a lease.
+        """
+        self._must_wait = stored is not None or may_be_lost
         revision = stored.revision if stored is not None else 0
         value = (stored.value or {}) if stored is not None else {}
         if revision != self._revision or self._unchanged_since_ms is None:
@@ -71,7 +87,7 @@
         if self._unchanged_since_ms is None:
             return None
         unchanged_ms = now_ms - self._unchanged_since_ms
-        if self._revision and unchanged_ms < self._duration_ms:
+        if self._must_wait and unchanged_ms < self._duration_ms:
             return None
         self.term += 1
         return LeaseWrite(self._value(), self._revision)
--- a/sapphirelift/platform/client.py
+++ b/sapphirelift/platform/client.py
@@ -19,6 +19,7 @@
 
 from sapphirelift import credentials as credentials_module
 from sapphirelift import errors
+from sapphirelift.core import revisions
 from sapphirelift.core.records import replica
 from sapphirelift.core.requests import backoff
 from sapphirelift.platform import store as store_module
@@ -84,6 +85,11 @@
         """Number of calls without a usable answer, by kind of call."""
         return self.store.failures
 
+    @property
+    def has_been_restored(self) -> bool:
+        """Whether the store has ever returned from an older copy."""
+        return self.store.era > revisions.FIRST_ERA
+
     def get(self, key: str) -> replica.StoredObject | None:
         """Returns an object, or None if it does not exist.
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -6,6 +6,7 @@
 
 from sapphirelift import _status_writer
 from sapphirelift import errors
+from sapphirelift.core import revisions
 from sapphirelift.core.membership import lease
 from sapphirelift.core.membership import status
 from sapphirelift.core.records import replica
@@ -62,6 +63,33 @@
             new.on_read(stored(5 + now_ms, write), now_ms=now_ms)
             assert new.attempt(now_ms) is None
 
+    def test_lease_that_the_store_has_lost(self) -> None:
+        """Guards against two holders after the store's return from a copy."""
+        old = lease.Lease(holder="a", incarnation=1)
+        old.on_read(None, now_ms=0)
+        assert old.attempt(0) is not None
+        old.on_written(5, started_ms=0)
+        # The store returns at once, and has lost the lease.
+        new = lease.Lease(holder="b", incarnation=1)
+        for now_ms in (100, 2100, 4100):
+            new.on_read(None, now_ms=now_ms, may_be_lost=True)
+            assert new.attempt(now_ms) is None
+        new.on_read(None, now_ms=6100, may_be_lost=True)
+        assert not old.holds(6100)
+        assert new.attempt(6100) is not None
+
+    def test_lease_of_an_earlier_holder_that_is_back(self) -> None:
+        """Guards against a revision given out again that looks unchanged."""
+        new = lease.Lease(holder="b", incarnation=1)
+        write = lease.LeaseWrite({"term": 1}, 0)
+        new.on_read(stored(5, write), now_ms=0)
+        again = revisions.of_store(5, era=2)
+        new.on_read(stored(again, write), now_ms=5900)
+        assert new.attempt(6000) is None
+        taken = new.attempt(11_900)
+        assert taken is not None
+        assert taken.expected_revision == again
+
     def test_refused_write_gives_up_lease(self) -> None:
         """Guards against holding the lease without an accepted write."""
         one = lease.Lease(holder="a", incarnation=1)
