Add a soak of packet daemons under faults and returns of the store

`sapphirelift bench soak` plays seeds with real processes: callers keep flows open and try present, dropped and unknown routes through each balancer, an operator changes routes and evacuations and writes again what the store has lost; daemons are killed, stopped, paused, reloaded and sent garbage, the store is down, slow, silent to one balancer, forgets its history, loses answers and returns from copies that lack up to eight versions. The judge holds the bounds for processes that were undisturbed, and never allows an older configuration.

--- a/sapphirelift/bench/commands.py
+++ b/sapphirelift/bench/commands.py
@@ -12,6 +12,8 @@
 from sapphirelift.bench import runner
 from sapphirelift.bench import scenarios
 from sapphirelift.bench import sizes
+from sapphirelift.bench import soak as soak_module
+from sapphirelift.bench import soak_series
 
 
 class Bench:
@@ -87,6 +89,43 @@
         """
         return capacity_module.main(name, output)
 
+    def soak(
+        self,
+        seeds: str = "1-3",
+        duration_s: float = 30.0,
+        parallel: int = 2,
+        balancers: int = 3,
+        agents: int = 4,
+        sessions: int = 12,
+        logs: str = "",
+    ) -> str:
+        """Plays packet daemons under faults and checks the promises.
+
+        Args:
+            seeds: Seeds, for example ``1-50`` or ``3,8``.
+            duration_s: Time for which faults are injected, per seed.
+            parallel: Number of seeds played at the same time.
+            balancers: Number of balancers.
+            agents: Number of agents, over two data centres.
+            sessions: Number of callers that keep their flows open.
+            logs: Directory for settings and logs; a temporary one if empty.
+        """
+        options = soak_module.Options(
+            logs,
+            duration_s=duration_s,
+            balancers=balancers,
+            agents=agents,
+            sessions=sessions,
+        )
+        # The argument parser turns a single seed into a number, and a list of
+        # them into a tuple.
+        listed = (
+            ",".join(map(str, seeds)) if isinstance(seeds, tuple) else seeds
+        )
+        return soak_series.run(
+            soak_series.parse_seeds(str(listed)), options, parallel=parallel
+        )
+
     def report(self, file: str, output: str) -> str:
         """Writes an HTML report of a saved run."""
         try:
--- /dev/null
+++ b/sapphirelift/bench/soak.py
@@ -0,0 +1,691 @@
+"""Plays one seeded soak run of packet daemons as real processes.
+
+``python -m sapphirelift.bench.soak OPTIONS``, with ``Options`` as JSON, prints
+what was seen and each broken promise. Faults come in bursts with calm times in
+between, in which the bounds hold; callers, operators and the promises that may
+never be broken go on all the time.
+"""
+
+import functools
+import json
+import math
+import pathlib
+import random
+import signal
+import socket
+import sys
+import time
+import urllib.request
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+import msgspec
+import xxhash
+
+from sapphirelift import errors
+from sapphirelift import tasks
+from sapphirelift.bench import fleet as fleet_module
+from sapphirelift.bench import packet_fleet
+from sapphirelift.bench import soak_judge
+from sapphirelift.core.l4 import packet
+from sapphirelift.platform import packets
+from sapphirelift.platform import store as store_module
+from sapphirelift.standins import flow_ends
+
+CALLER_IP = "127.61.0.7"
+ROUTE_IP = "198.18.0.1"
+MAIN_ROUTE = 443
+FIRST_ROUTE = 2000
+MAX_ROUTES = 6
+DATA_CENTRES = ("a", "b")
+# Number of versions that a copy of the store lacks.
+LOST_CHANGES = (1, 2, 8)
+BURST_S = 5.0
+CALM_S = 11.0
+# Age of the copy from which the store returns.
+COPY_AGE_S = (0.5, 3.0)
+# Longer than the operators take to write again what the store has lost.
+MAX_REWRITE_S = 1.5
+RESTART_S = 0.6
+# A started daemon is ready within this time.
+START_S = 2.0
+ANSWER_TIMEOUT_S = 6.0
+
+
+class Options(msgspec.Struct, forbid_unknown_fields=True):
+    """Options of a run.
+
+    Attributes:
+        directory: Directory for settings and logs.
+        agents: Number of agents, spread over two data centres.
+        sessions: Number of callers that use one flow for many requests.
+    """
+
+    directory: str
+    seed: int = 1
+    duration_s: float = 30.0
+    balancers: int = 3
+    agents: int = 4
+    sessions: int = 12
+
+
+class _Instance:
+    """An instance with its daemon and, beside an agent, a backend server."""
+
+    def __init__(self, name: str, ip: str, data_centre: str) -> None:
+        self.name = name
+        self.ip = ip
+        self.data_centre = data_centre
+        self.starts = 0
+        self.is_stopped_by_soak = False
+
+
+class _Backend:
+    """A backend server stand-in that reports to its agent."""
+
+    def __init__(
+        self, instance: _Instance, ports: packet_fleet.Ports, rng: random.Random
+    ) -> None:
+        self.instance = instance
+        self._ports = ports
+        self._number = 0
+        self._born_ms = time.time_ns() // 1_000_000
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((instance.ip, ports.app))
+        outbound = (instance.ip, ports.outbound)
+        self.server = flow_ends.BackendServer(
+            rng,
+            lambda data: self._socket.sendto(data, outbound),
+            call_later=_call_later,
+        )
+
+    def receive_forever(self) -> None:
+        """Handles the packets of the agent."""
+        while True:
+            self.server.receive(self._socket.recv(2048))
+
+    def report_forever(self) -> None:
+        """Reports to the agent twice a second."""
+        ports, ip = self._ports, self.instance.ip
+        while True:
+            self._number += 1
+            body = {
+                "Service": "shop",
+                "Address": f"{ip}:{ports.app}",
+                "Zone": self.instance.data_centre,
+                "Version": "v1",
+                "MaxConcurrency": 8,
+                "State": "ready",
+                "WarmupRemainingMs": 0,
+                "Sequence": self._number,
+                "born": self._born_ms,
+            }
+            _call_http(
+                f"http://{ip}:{ports.reports}/v1/instances/i-{ip}",
+                method="PUT",
+                body=body,
+            )
+            eventlet.sleep(0.5)
+
+
+def _call_later(delay_ms: int, call: Callable[[], None]) -> None:
+    eventlet.spawn_after(delay_ms / 1000, call)
+
+
+def _call_http(
+    url: str, *, method: str = "GET", body: dict[str, Any] | None = None
+) -> bool:
+    """Returns whether a call was answered with success."""
+    data = json.dumps(body).encode() if body is not None else None
+    request = urllib.request.Request(url, data=data, method=method)
+    try:
+        urllib.request.urlopen(request, timeout=1).close()
+    except OSError:
+        return False
+    return True
+
+
+class _Operator:
+    """Writes configurations and evacuations, again if the store loses them.
+
+    Attributes:
+        versions: Versions sent so far.
+        evacuations: Evacuations that the store has acknowledged.
+        pending_changes: Number of versions to write without a pause.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        rng: random.Random,
+        now_s: Callable[[], float],
+    ) -> None:
+        self.versions: list[soak_judge.Version] = []
+        self.evacuations: list[soak_judge.Evacuation] = []
+        self.pending_changes = 0
+        self._store = store_module.Store(url, name="operator", calls_per_s=1000)
+        self._rng = rng
+        self._now_s = now_s
+        self._rewrite_s = math.inf
+        self._evacuated: str | None = None
+
+    def on_restored(self) -> None:
+        """Notices that the store may have lost what was written."""
+        self._rewrite_s = self._now_s() + self._rng.uniform(0, MAX_REWRITE_S)
+
+    def run(self) -> None:
+        """Changes the configuration and evacuations for ever."""
+        rng = self._rng
+        next_version_s = self._now_s() + 1.0
+        next_evacuation_s = self._now_s() + self._rng.uniform(2, 8)
+        while True:
+            eventlet.sleep(0.05)
+            now_s = self._now_s()
+            if now_s >= self._rewrite_s:
+                self._rewrite_s = math.inf
+                self._retry(self._rewrite)
+            elif now_s >= next_version_s or self.pending_changes:
+                self.change_routes()
+                self.pending_changes = max(self.pending_changes - 1, 0)
+                pause_s = 0 if self.pending_changes else rng.uniform(0.5, 4)
+                next_version_s = self._now_s() + pause_s
+            elif now_s >= next_evacuation_s:
+                self._change_evacuation()
+                next_evacuation_s = self._now_s() + self._rng.uniform(3, 9)
+
+    def change_routes(self) -> None:
+        """Adds a route, and at times drops one."""
+        former = self.versions[-1] if self.versions else None
+        number = former.number + self._rng.randint(1, 3) if former else 1
+        routes = set(former.routes if former else {MAIN_ROUTE})
+        added = sorted(routes - {MAIN_ROUTE})
+        if len(added) >= MAX_ROUTES or (added and self._rng.random() < 0.5):
+            routes.remove(self._rng.choice(added))
+        routes.add(FIRST_ROUTE + number)
+        version = soak_judge.Version(
+            number, frozenset(routes), self._now_s(), math.inf
+        )
+        self.versions.append(version)
+        self._retry(self._write_configuration)
+        self.versions[-1] = version._replace(acknowledged_s=self._now_s())
+
+    def _write_configuration(self) -> None:
+        version = self.versions[-1]
+        value = {
+            "Version": version.number,
+            "Routes": [
+                {
+                    "Name": f"route-{port}",
+                    "Host": ROUTE_IP,
+                    "PathPrefix": f"/{port}/",
+                    "Service": "shop",
+                }
+                for port in sorted(version.routes)
+            ],
+            "Services": [
+                {"Name": "shop", "MaxConnections": 2000, "WarmupPerS": 0.0}
+            ],
+            "Limits": {"IdleTimeoutMs": 15000},
+        }
+        try:
+            self._store.replace("config", "main", value)
+        except errors.ConflictError:
+            self._store.create("config", "main", value)
+
+    def _change_evacuation(self) -> None:
+        if self._evacuated is not None:
+            self.evacuations[-1] = self.evacuations[-1]._replace(
+                ended_s=self._now_s()
+            )
+            self._evacuated = None
+            self._retry(self._write_evacuation)
+            return
+        self._evacuated = self._rng.choice(DATA_CENTRES)
+        self._retry(self._write_evacuation)
+        self.evacuations.append(
+            soak_judge.Evacuation(self._evacuated, self._now_s(), math.inf)
+        )
+
+    def _write_evacuation(self) -> None:
+        listed = {o.name for o in self._store.list_kind("evacuations").objects}
+        wanted = {self._evacuated} if self._evacuated is not None else set()
+        for name in listed - wanted:
+            self._store.delete("evacuations", name)
+        for name in wanted - listed:
+            self._store.create("evacuations", name, {})
+
+    def _rewrite(self) -> None:
+        self._write_configuration()
+        self._write_evacuation()
+
+    def _retry(self, write: Callable[[], None]) -> None:
+        while True:
+            try:
+                write()
+                return
+            except (errors.PlatformUnavailableError, errors.ConflictError):
+                eventlet.sleep(0.1)
+
+
+class Soak:
+    """Processes, callers and faults of one run."""
+
+    def __init__(self, options: Options) -> None:
+        self._options = options
+        self._rng = random.Random(options.seed)
+        self._started_s = time.monotonic()
+        self._fleet = fleet_module.Fleet(pathlib.Path(options.directory))
+        self._ports = packet_fleet.Ports()
+        self._balancers = [
+            _Instance(f"balancer-{n}", f"127.61.1.{n}", DATA_CENTRES[n % 2])
+            for n in range(1, options.balancers + 1)
+        ]
+        self._agents = [
+            _Instance(f"agent-{n}", f"127.61.2.{n}", DATA_CENTRES[n % 2])
+            for n in range(1, options.agents + 1)
+        ]
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((CALLER_IP, self._ports.packets))
+        self._callers: dict[packet.FlowKey, flow_ends.CallerFlow] = {}
+        self._next_port = 10_000
+        self._rotation: list[_Instance] = []
+        self._misses: dict[str, int] = {}
+        self._disturbances = soak_judge.Disturbances()
+        self._attempts: list[soak_judge.Attempt] = []
+        self._broken: list[soak_judge.BrokenFlow] = []
+        self.faults: list[str] = []
+        self.exchanges = 0
+
+    def _now_s(self) -> float:
+        return time.monotonic() - self._started_s
+
+    def run(self) -> soak_judge.Record:
+        """Plays the run and returns what was seen."""
+        self._fleet.start_platform()
+        self._operator = _Operator(
+            self._fleet.platform_url,
+            random.Random(self._rng.random()),
+            self._now_s,
+        )
+        self._operator.change_routes()
+        self._backends = [
+            _Backend(agent, self._ports, self._rng) for agent in self._agents
+        ]
+        for instance in [*self._agents, *self._balancers]:
+            self._start(instance)
+        for backend in self._backends:
+            tasks.spawn("backend", backend.receive_forever)
+            tasks.spawn("reports", backend.report_forever)
+        for balancer in self._balancers:
+            tasks.spawn(
+                "readiness", functools.partial(self._check_readiness, balancer)
+            )
+        tasks.spawn("receive", self._receive)
+        with eventlet.Timeout(20):
+            while len(self._rotation) < len(self._balancers):
+                eventlet.sleep(0.1)
+        # Balancers learn of all agents.
+        eventlet.sleep(START_S)
+        end_s = self._now_s() + self._options.duration_s
+        tasks.spawn("operator", self._operator.run)
+        for _ in range(self._options.sessions):
+            tasks.spawn("session", self._use_session)
+        tasks.spawn("attempts", self._attempt_for_ever)
+        while self._now_s() < end_s:
+            self._play_burst()
+            eventlet.sleep(BURST_S + CALM_S * self._rng.uniform(0.8, 1.2))
+        return soak_judge.Record(
+            [agent.name for agent in self._agents],
+            self._operator.versions,
+            self._operator.evacuations,
+            self._attempts,
+            self._broken,
+            self._disturbances,
+        )
+
+    def find_failures(self) -> list[str]:
+        """Returns tasks and daemons that have failed on their own."""
+        found = [f"soak failed: {name}" for name in tasks.failures]
+        for instance in [*self._agents, *self._balancers]:
+            process = self._fleet.processes[instance.name]
+            if process.poll() is not None and not instance.is_stopped_by_soak:
+                found.append(f"ended: {instance.name}, {process.returncode}")
+            log = self._fleet.directory / f"{instance.name}.log"
+            if "task_failed" in log.read_text():
+                found.append(f"failed task: {instance.name}")
+        return found
+
+    def close(self) -> None:
+        """Ends all processes."""
+        self._fleet.close()
+        self._socket.close()
+
+    # Daemons.
+
+    def _start(self, instance: _Instance) -> None:
+        role = instance.name.partition("-")[0]
+        settings = packet_fleet.daemon_settings(
+            self._ports,
+            ip=instance.ip,
+            role=role,
+            platform_port=self._fleet.platform_port,
+            data_centre=instance.data_centre,
+        ) | {"name": instance.name}
+        path = self._fleet.directory / f"{instance.name}.json"
+        path.write_text(json.dumps(settings))
+        instance.starts += 1
+        instance.is_stopped_by_soak = False
+        self._fleet.spawn(
+            instance.name,
+            "-m",
+            "sapphirelift.packet_daemon",
+            "--settings",
+            str(path),
+        )
+
+    def _check_readiness(self, balancer: _Instance) -> None:
+        """Puts a balancer into rotation and takes it out, as the fabric does.
+
+        Two checks half a second apart must fail.
+        """
+        url = f"http://{balancer.ip}:{self._ports.readiness}/v1/readyz"
+        misses = 2
+        while True:
+            misses = 0 if _call_http(url) else misses + 1
+            if misses == 0 and balancer not in self._rotation:
+                self._rotation.append(balancer)
+            if misses == 2 and balancer in self._rotation:
+                self._rotation.remove(balancer)
+            eventlet.sleep(0.5)
+
+    # Callers.
+
+    def _receive(self) -> None:
+        while True:
+            data = self._socket.recv(2048)
+            caller = self._callers.get(packets.decode_from_backend(data).flow)
+            if caller is not None:
+                caller.receive(data)
+
+    def _new_flow(
+        self, route: int, balancer: Callable[[packet.FlowKey], _Instance | None]
+    ) -> flow_ends.CallerFlow:
+        self._next_port += 1
+        flow = packet.FlowKey(
+            packets.ip_number(CALLER_IP),
+            self._next_port,
+            packets.ip_number(ROUTE_IP),
+            route,
+        )
+
+        def send(data: bytes) -> None:
+            chosen = balancer(flow)
+            if chosen is not None:
+                self._socket.sendto(data, (chosen.ip, self._ports.packets))
+
+        caller = flow_ends.CallerFlow(
+            flow,
+            random.Random(self._next_port),
+            send,
+            call_later=_call_later,
+        )
+        self._callers[flow] = caller
+        return caller
+
+    def _route_packet(self, flow: packet.FlowKey) -> _Instance | None:
+        """Returns the balancer that the fabric sends a flow's packets to."""
+        return max(
+            self._rotation,
+            key=lambda b: xxhash.xxh64_intdigest(f"{flow} {b.name}".encode()),
+            default=None,
+        )
+
+    def _holder(self, flow: packet.FlowKey) -> _Instance | None:
+        for backend in self._backends:
+            if backend.server.holds(flow):
+                return backend.instance
+        return None
+
+    def _wait(self, condition: Callable[[], bool], timeout_s: float) -> None:
+        end_s = self._now_s() + timeout_s
+        while not condition() and self._now_s() < end_s:
+            eventlet.sleep(0.005)
+
+    def _attempt_for_ever(self) -> None:
+        """Opens flows to present, dropped and unknown routes."""
+        while True:
+            eventlet.sleep(self._rng.uniform(0.01, 0.05))
+            eventlet.spawn(self._attempt)
+
+    def _attempt(self) -> None:
+        if not self._rotation:
+            return
+        balancer = self._rng.choice(self._rotation)
+        versions = self._operator.versions[-3:]
+        known = sorted({port for v in versions for port in v.routes})
+        route = self._rng.choice([*known, FIRST_ROUTE])
+        caller = self._new_flow(route, lambda flow: balancer)
+        sent_s, start = self._now_s(), balancer.starts
+        caller.open()
+        self._wait(lambda: caller.state != "opening", 2.0)
+        ended_s, outcome = self._now_s(), caller.state
+        agent = None
+        if outcome == "open":
+            self._wait(lambda: self._holder(caller.flow) is not None, 0.5)
+            agent = self._holder(caller.flow)
+            caller.close()
+        del self._callers[caller.flow]
+        if start != balancer.starts:
+            return
+        self._attempts.append(
+            soak_judge.Attempt(
+                sent_s,
+                ended_s,
+                balancer.name,
+                start,
+                route,
+                outcome if outcome in ("open", "reset") else "failed",
+                agent.name if agent is not None else "",
+                agent.data_centre if agent is not None else "",
+            )
+        )
+
+    def _use_session(self) -> None:
+        """Keeps one flow open and sends requests; opens another if it ends."""
+        rng = random.Random(self._rng.random())
+        while True:
+            caller = self._new_flow(MAIN_ROUTE, self._route_packet)
+            caller.open()
+            self._wait(lambda c=caller: c.state != "opening", 2.0)
+            while caller.state == "open":
+                answers = caller.answers
+                caller.request()
+                self._wait(
+                    lambda c=caller, n=answers: (
+                        c.answers > n or c.state != "open"
+                    ),
+                    ANSWER_TIMEOUT_S,
+                )
+                if caller.answers == answers:
+                    self._on_no_answer(caller)
+                    caller.close()
+                    break
+                self.exchanges += 1
+                eventlet.sleep(rng.uniform(0.05, 0.5))
+            del self._callers[caller.flow]
+            eventlet.sleep(0.1)
+
+    def _on_no_answer(self, caller: flow_ends.CallerFlow) -> None:
+        agent = self._holder(caller.flow)
+        balancer = self._route_packet(caller.flow)
+        if caller.state == "reset" and agent and balancer:
+            self._broken.append(
+                soak_judge.BrokenFlow(self._now_s(), balancer.name, agent.name)
+            )
+
+    # Faults.
+
+    def _post(self, path: str, value: dict[str, Any]) -> None:
+        fleet_module.post_json(self._fleet.platform_port, path, value)
+
+    def _play_burst(self) -> None:
+        """Starts some faults that overlap, one of them the store's return."""
+        kinds = [
+            self._kill,
+            self._stop,
+            self._pause,
+            self._reload,
+            self._send_garbage,
+            self._disturb_store,
+            self._silence_store,
+        ]
+        chosen = [*self._rng.choices(kinds, k=self._rng.randint(1, 4))]
+        if self._rng.random() < 0.8:
+            chosen.append(self._restore)
+        for fault in chosen:
+            delay_s = self._rng.uniform(0, BURST_S * 0.6)
+            eventlet.spawn_after(delay_s, tasks.spawn, "fault", fault)
+
+    def _pick(self) -> _Instance:
+        instance = self._rng.choice([*self._balancers, *self._agents])
+        return instance
+
+    def _log_fault(self, text: str) -> None:
+        self.faults.append(f"{self._now_s():.2f} {text}")
+
+    def _kill(self) -> None:
+        instance = self._pick()
+        if not self._fleet.is_running(instance.name):
+            return
+        self._log_fault(f"kill {instance.name}")
+        self._end(instance, signal.SIGKILL, instance.name)
+
+    def _stop(self) -> None:
+        instance = self._pick()
+        if not self._fleet.is_running(instance.name):
+            return
+        self._log_fault(f"stop {instance.name}")
+        planned = soak_judge.Disturbances.planned(instance.name)
+        self._end(instance, signal.SIGTERM, planned)
+
+    def _end(self, instance: _Instance, number: int, disturbed: str) -> None:
+        """Ends a daemon and starts it again after a moment."""
+        if instance.is_stopped_by_soak:
+            return
+        instance.is_stopped_by_soak = True
+        from_s = self._now_s()
+        process = self._fleet.processes[instance.name]
+        # It counts from the signal on, also while the process still stops.
+        self._disturbances.add(disturbed, from_s, math.inf)
+        process.send_signal(signal.SIGCONT)
+        process.send_signal(number)
+        while process.poll() is None:
+            eventlet.sleep(0.02)
+        eventlet.sleep(RESTART_S)
+        self._start(instance)
+        self._disturbances.end(disturbed, from_s, self._now_s() + START_S)
+
+    def _pause(self) -> None:
+        instance = self._pick()
+        if instance.is_stopped_by_soak:
+            return
+        for_s = self._rng.uniform(0.5, 4.0)
+        self._log_fault(f"pause {instance.name} {for_s:.1f} s")
+        self._disturbances.add(
+            instance.name, self._now_s(), self._now_s() + for_s
+        )
+        process = self._fleet.processes[instance.name]
+        process.send_signal(signal.SIGSTOP)
+        eventlet.sleep(for_s)
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+
+    def _reload(self) -> None:
+        instance = self._pick()
+        if instance.is_stopped_by_soak:
+            return
+        self._log_fault(f"reload {instance.name}")
+        self._fleet.processes[instance.name].send_signal(signal.SIGHUP)
+
+    def _send_garbage(self) -> None:
+        instance = self._pick()
+        self._log_fault(f"garbage to {instance.name}")
+        for port in (self._ports.internal[0], self._ports.packets):
+            for _ in range(20):
+                kind = bytes([self._rng.randrange(24)])
+                data = kind + self._rng.randbytes(self._rng.randrange(80))
+                self._socket.sendto(data, (instance.ip, port))
+
+    def _disturb_store(self) -> None:
+        for_s = self._rng.uniform(0.3, 3.0)
+        faults: dict[str, Any] = self._rng.choice(
+            [
+                {"down": True},
+                {"delay_ms": self._rng.randint(100, 1500)},
+                {"history_changes": 0},
+                {"lose_write_answers": 2},
+            ]
+        )
+        self._log_fault(f"store {faults} {for_s:.1f} s")
+        self._set_store_faults(faults, for_s)
+
+    def _silence_store(self) -> None:
+        instance = self._rng.choice(self._balancers)
+        for_s = self._rng.uniform(1.0, 6.0)
+        self._log_fault(f"store silent to {instance.name} {for_s:.1f} s")
+        now_s = self._now_s()
+        self._disturbances.add(instance.name, now_s, now_s + for_s)
+        self._set_store_faults({"silent_clients": [instance.name]}, for_s)
+
+    def _set_store_faults(self, faults: dict[str, Any], for_s: float) -> None:
+        now_s = self._now_s()
+        self._disturbances.add(
+            soak_judge.Disturbances.STORE, now_s, now_s + for_s
+        )
+        self._post("/faults", faults)
+        eventlet.sleep(for_s)
+        self._post("/faults", {})
+
+    def _restore(self) -> None:
+        self._post("/copy", {})
+        self._operator.pending_changes = self._rng.choice(LOST_CHANGES)
+        age_s = self._rng.uniform(*COPY_AGE_S)
+        eventlet.sleep(age_s)
+        for_s = self._rng.uniform(0.1, 2.0)
+        self._log_fault(
+            f"store away {for_s:.1f} s, returns from a copy {age_s:.1f} s old"
+        )
+        now_s = self._now_s()
+        self._disturbances.add(
+            soak_judge.Disturbances.STORE, now_s, now_s + for_s + MAX_REWRITE_S
+        )
+        self._post("/faults", {"down": True})
+        eventlet.sleep(for_s)
+        self._post("/restore", {})
+        self._post("/faults", {})
+        self._operator.on_restored()
+
+
+def main() -> None:
+    """Plays one run and exits with 1 if a promise was broken."""
+    eventlet.monkey_patch()
+    options = msgspec.json.decode(sys.argv[1], type=Options)
+    soak = Soak(options)
+    try:
+        record = soak.run()
+        violations = soak_judge.find_violations(record) + soak.find_failures()
+    finally:
+        soak.close()
+    seen = soak_judge.summary(record) | {
+        "exchanges": soak.exchanges,
+        "faults": len(soak.faults),
+    }
+    print(f"seed {options.seed}: {len(violations)} violations, {seen}")
+    if violations:
+        print("\n".join([*violations[:20], "faults:", *soak.faults]))
+    sys.exit(bool(violations))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sapphirelift/bench/soak_series.py
@@ -0,0 +1,86 @@
+"""Plays soak runs of several seeds, each in a process of its own."""
+
+import concurrent.futures
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+import msgspec
+
+from sapphirelift import errors
+from sapphirelift.bench import fleet
+from sapphirelift.bench import soak
+
+# Start, end and the last calm time come on top of the duration.
+MAX_OVERTIME_S = 120.0
+
+
+def parse_seeds(text: str) -> list[int]:
+    """Returns the seeds of a list such as ``1-3,9``.
+
+    >>> parse_seeds("1-3,9")
+    [1, 2, 3, 9]
+
+    Raises:
+        RecordError: The text is not such a list.
+    """
+    try:
+        ranges = [part.partition("-")[::2] for part in text.split(",")]
+        return [
+            seed
+            for first, last in ranges
+            for seed in range(int(first), int(last or first) + 1)
+        ]
+    except ValueError as error:
+        raise errors.RecordError(
+            f"{text!r} is not a list of seeds",
+            remedy="write it like 1-50 or 3,8,11",
+        ) from error
+
+
+def run(seeds: list[int], template: soak.Options, *, parallel: int) -> str:
+    """Plays a run for each seed.
+
+    Args:
+        seeds: The seeds.
+        template: Options of all runs; the directory gets a folder for each
+            seed, a temporary one if it is empty.
+        parallel: Number of runs at the same time.
+
+    Returns:
+        The report, one line for each run and more for those that failed.
+    """
+    root = template.directory or tempfile.mkdtemp(prefix="sapphirelift-soak-")
+
+    def play(seed: int) -> tuple[int, str]:
+        directory = pathlib.Path(root) / str(seed)
+        directory.mkdir(parents=True, exist_ok=True)
+        options = msgspec.structs.replace(
+            template, seed=seed, directory=str(directory)
+        )
+        played = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "sapphirelift.bench.soak",
+                fleet.to_json(options),
+            ],
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=template.duration_s + MAX_OVERTIME_S,
+        )
+        text = played.stdout + (played.stderr if played.returncode > 1 else "")
+        return played.returncode, text.rstrip()
+
+    with concurrent.futures.ThreadPoolExecutor(parallel) as pool:
+        results = list(pool.map(play, seeds))
+    failed = [
+        seed for seed, (status, _) in zip(seeds, results, strict=True) if status
+    ]
+    lines = [text for _, text in results]
+    lines.append(
+        f"{len(seeds)} seeds, failed: {failed or 'none'}; logs in {root}"
+    )
+    return "\n".join(lines)
--- a/tests/test_packet_daemon.py
+++ b/tests/test_packet_daemon.py
@@ -22,6 +22,7 @@
 
 import pytest
 
+from sapphirelift.bench import packet_fleet
 from sapphirelift.core.l4 import packet
 from sapphirelift.platform import packets
 from sapphirelift.platform import store
@@ -47,21 +48,10 @@
 }
 
 
-class Ports:
-    """Ports of one test, free on all loopback addresses."""
-
-    def __init__(self) -> None:
-        found = [processes.free_port() for _ in range(8)]
-        self.packets, self.readiness, self.reports, self.outbound = found[:4]
-        self.app = found[4]
-        self.metrics = found[5]
-        self.internal = sorted(found[6:])
-
-
 class Backend:
     """A backend server stand-in with a socket and a receiving thread."""
 
-    def __init__(self, ip: str, ports: Ports) -> None:
+    def __init__(self, ip: str, ports: packet_fleet.Ports) -> None:
         self.ip = ip
         self._ports = ports
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -135,7 +125,7 @@
     """The platform, daemons, backend servers and caller socket of a test."""
 
     def __init__(self, fleet: processes.Fleet, folder: pathlib.Path) -> None:
-        self.ports = Ports()
+        self.ports = packet_fleet.Ports()
         self.fleet = fleet
         self._folder = folder
         self._running: dict[str, subprocess.Popen[bytes]] = {}
@@ -150,29 +140,12 @@
 
     def start(self, ip: str, role: str) -> None:
         """Starts the daemon of an instance."""
-        ports = self.ports
-        settings: dict[str, Any] = {
-            "name": f"{role}-{ip}",
-            "role": role,
-            "ip": ip,
-            "data_centre": "a",
-            "region": "r",
-            "packets": f"{ip}:{ports.packets}",
-            "readiness": f"{ip}:{ports.readiness}",
-            "internal_ports": ports.internal,
-            "metrics": f"{ip}:{ports.metrics}",
-            "platform": f"127.0.0.1:{self.fleet.platform_port}",
-            "report_interval_ms": 1000,
-            "contact_ms": 4000,
-            "stop_timeout_s": 6,
-        }
-        if role == "agent":
-            settings |= {
-                "reports": f"{ip}:{ports.reports}",
-                "outbound": f"{ip}:{ports.outbound}",
-                "backend": f"{ip}:{ports.app}",
-                "service": "shop",
-            }
+        settings = packet_fleet.daemon_settings(
+            self.ports,
+            ip=ip,
+            role=role,
+            platform_port=self.fleet.platform_port,
+        )
         path = self._folder / f"{ip}.json"
         path.write_text(json.dumps(settings))
         log = (self._folder / f"{ip}.log").open("ab")
