Survive a SIGHUP that arrives while the packet daemon starts

What callers could see: a balancer or agent that is reloaded right after its start is ended by the signal and starts once more.

Python's default for SIGHUP ends the process, and the handlers were installed after the imports, 0.2 to 0.3 s later. The module now notes the signal before it imports anything else, and reloads once the daemon runs.

TestSignals sends the signal during the imports; it fails on the code before. Remains: some milliseconds of the interpreter's own start.

--- a/sapphirelift/packet_daemon.py
+++ b/sapphirelift/packet_daemon.py
@@ -1,14 +1,22 @@
 """Packet daemon; runs as a balancer or as an agent, as its settings say."""
 
 import os
+import signal
 import sys
 
-import eventlet
+_early_reloads: list[int] = []
+if __name__ == "__main__":
+    # SIGHUP would end the process while the other modules are imported.
+    signal.signal(
+        signal.SIGHUP, lambda signum, frame: _early_reloads.append(signum)
+    )
+
+import eventlet  # noqa: E402
 
-from sapphirelift import _packet_node
-from sapphirelift import deployment
-from sapphirelift import errors
-from sapphirelift import signals
+from sapphirelift import _packet_node  # noqa: E402
+from sapphirelift import deployment  # noqa: E402
+from sapphirelift import errors  # noqa: E402
+from sapphirelift import signals  # noqa: E402
 
 USAGE_STATUS = 2
 SETTINGS_VARIABLE = "SAPPHIRELIFT_CONFIG"
@@ -56,6 +64,8 @@
         on_reload=reload,
     )
     node.start()
+    if _early_reloads:
+        reload()
     stopping.wait()
     node.stop()
 
--- a/tests/test_packet_daemon.py
+++ b/tests/test_packet_daemon.py
@@ -22,6 +22,7 @@
 
 import pytest
 
+from sapphirelift import packet_daemon
 from sapphirelift.bench import packet_fleet
 from sapphirelift.core.l4 import packet
 from sapphirelift.platform import packets
@@ -368,6 +369,38 @@
         assert sent[0]["configuration_revision"] > 0
 
 
+# Sends SIGHUP while the daemon's modules are imported.
+SIGHUP_AT_IMPORT = """
+import os, runpy, signal, sys
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "eventlet":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Finder())
+sys.argv = ["packet_daemon"]
+runpy.run_module("sapphirelift.packet_daemon", run_name="__main__")
+"""
+
+
+class TestSignals:
+    """Signals that arrive while a daemon starts."""
+
+    def test_reload_during_the_start_does_not_end_the_daemon(self) -> None:
+        """Guards against a starting daemon that SIGHUP ends."""
+        environment = dict(os.environ)
+        environment.pop(packet_daemon.SETTINGS_VARIABLE, None)
+        ended = subprocess.run(
+            [sys.executable, "-c", SIGHUP_AT_IMPORT],
+            env=environment,
+            capture_output=True,
+            check=False,
+        )
+        # The daemon has started and asks for its settings.
+        assert ended.returncode == packet_daemon.USAGE_STATUS, ended.stderr
+
+
 class TestStoreRestored:
     """The store returns from a copy that lacks the newest changes."""
 
