Let evacuations of before the return hold until the era is settled

What callers saw in a soak run: after a return of the store, new flows were reset for up to 3 s. An evacuation was in force, another one that had ended was in the store's copy again, and together they left no data centre.

Adding what the copy holds to what is in force was meant to be the careful choice, and is not: evacuations may never be added up. Until an era is settled, what was in force before it now stays as it is; a balancer without memory follows the copy only until a peer with memory answers. Within an era the newer contents win, and are settled if the older ones were. The era settles 2.5 s after its first answer, so that an evacuation of right after the return is in force within its bound of 5 s.

--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -172,8 +172,10 @@
             DatagramError: The message carries a packet that cannot be decoded.
         """
         dispatch.to_balancer(self.core, message, source, clock.now_ms())
-        # A watch can wait in silence, in a history that has ended.
-        self.store.expect_era(revisions.era_of(self.core.evacuations.revision))
+        if isinstance(message, messages.Revisions):
+            # A watch can wait in silence, in a history that has ended.
+            revision = message.evacuations_revision
+            self.store.expect_era(revisions.era_of(revision))
 
     # Configuration and evacuations.
 
--- a/sapphirelift/core/l4/routes.py
+++ b/sapphirelift/core/l4/routes.py
@@ -142,31 +142,23 @@
     def updated(self, received: "Evacuations") -> "Evacuations":
         """Returns what is in force after others have been received.
 
-        Until an era is settled, evacuations are only added to those in force.
+        What was in force before the store's return stays until the new era is
+        settled, so that an evacuation is neither lost nor comes back.
 
         >>> before = Evacuations(20, frozenset({"a"}))
         >>> restored = Evacuations(
-        ...     revisions.of_store(18, era=2), is_settled=False
+        ...     revisions.of_store(18, era=2), frozenset("b"), is_settled=False
         ... )
         >>> sorted(before.updated(restored).data_centres)
         ['a']
         >>> settled = restored._replace(is_settled=True)
         >>> sorted(before.updated(settled).data_centres)
-        []
+        ['b']
         """
-        if not received.revision:
-            return self
-        if not self.revision:
-            return received
-        era = revisions.era_of(self.revision)
-        received_era = revisions.era_of(received.revision)
-        if (received_era, received.is_settled) < (era, self.is_settled):
-            return self
-        if not received.is_settled:
-            return Evacuations(
-                max(self.revision, received.revision),
-                self.data_centres | received.data_centres,
-                is_settled=False,
-            )
-        is_newer = received.revision > self.revision or not self.is_settled
-        return received if is_newer else self
+        if not self.revision or not received.revision:
+            return self if self.revision else received
+        older, newer = sorted((received, self), key=lambda e: e.revision)
+        if revisions.era_of(older.revision) < revisions.era_of(newer.revision):
+            return newer if newer.is_settled else older
+        # What is read after settled contents of the same era is settled too.
+        return newer._replace(is_settled=older.is_settled or newer.is_settled)
--- a/sapphirelift/core/revisions.py
+++ b/sapphirelift/core/revisions.py
@@ -16,7 +16,7 @@
 # After the store's return, operators and backend servers write again what it
 # has lost, within about two seconds. Until then, what it lacks may be lost
 # instead of deleted, and what it holds may be out of date.
-REWRITE_MS = 3000
+REWRITE_MS = 2500
 
 
 def of_store(store_revision: int, *, era: int) -> int:
