Do not reset new flows before agents are heard again after a pause

What callers saw: after a pause of a balancer of some seconds, new flows were reset although all agents were ready, until the next heartbeats.

Heartbeats that waited during the pause say that the agent has not heard this balancer for as long, so the balancer took their path for one that passes one way only, had no agent left and reset the opening. As at its start, it now drops such openings for two heartbeat intervals (0.8 s); callers repeat them after 200 and 600 ms, when agents have answered.

TestPausedBalancer::test_new_flows_are_not_reset_ before_agents_are_heard fails on the code before.

--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -36,6 +36,9 @@
 # For this long after its start, a balancer without agents drops opening packets
 # instead of resetting them, because heartbeats may not have arrived yet.
 SETTLE_MS = 3000
+# After a pause it does so for two heartbeat intervals: the heartbeats that
+# waited meanwhile are old, and say that the agents have not heard it.
+SETTLE_AFTER_PAUSE_MS = 800
 MAX_PEERS = 1024
 # Maximum number of agents asked about one flow without a resolver. If there are
 # more, a failed search does not prove that the flow has ended.
@@ -195,6 +198,7 @@
         self._removed_routes: dict[routes.RouteKey, int] = {}
         self._newer_replica: _NewerReplica | None = None
         self._freshness = freshness.Freshness()
+        self._resumed_boot_ms = -SETTLE_AFTER_PAUSE_MS
         self._revisions_number = 0
         self._resumed_number = 0
         self._actions: list[actions.Action] = []
@@ -239,6 +243,7 @@
         if not self._freshness.observe(boot_ms):
             return
         self.counters["resumed"] += 1
+        self._resumed_boot_ms = boot_ms
         self._resumed_number = self._revisions_number
         self._openings.clear()
         peers = list(self.peers)
@@ -364,7 +369,7 @@
             flow, watched or found, data_centre=self._data_centre
         )
         if not ranked:
-            if now_ms - self._started_ms < SETTLE_MS:
+            if self._is_settling(now_ms):
                 self.counters["opens_dropped_settling"] += 1
                 return
             self.counters["opens_refused_no_agent"] += 1
@@ -406,6 +411,14 @@
         )
         self._send_open(opening)
 
+    def _is_settling(self, now_ms: int) -> bool:
+        """Returns whether agents may live that count as silent here."""
+        boot_ms = self._freshness.last_observed_ms
+        return (
+            now_ms - self._started_ms < SETTLE_MS
+            or boot_ms - self._resumed_boot_ms < SETTLE_AFTER_PAUSE_MS
+        )
+
     def _send_open(self, opening: _Opening) -> None:
         address = opening.candidates[opening.index]
         agent = self.agents.get(address)
--- a/tests/test_l4_failures.py
+++ b/tests/test_l4_failures.py
@@ -173,6 +173,27 @@
         core.on_packet(syn(1), net.now_ms)
         assert messages.Open in [type(m) for m in sent(core)]
 
+    def test_new_flows_are_not_reset_before_agents_are_heard(self) -> None:
+        """Guards against resets by heartbeats that waited during a pause."""
+        net = network(balancers=2)
+        core, question = self.paused(net)
+        net.now_ms += balancer_module.SETTLE_MS
+        core.on_message(
+            question._replace(balancer=PEER, is_reply=True), net.now_ms
+        )
+        hosts = net.agents.values()
+        for unheard_ms in (PAUSE_MS, 0):
+            for host in hosts:
+                heartbeat = host.agent.heartbeat(net.now_ms)
+                core.on_message(
+                    heartbeat._replace(unheard_ms=unheard_ms), net.now_ms
+                )
+            core.drain_actions()
+            core.on_packet(syn(1), net.now_ms)
+            kinds = [type(a) for a in core.drain_actions()]
+            assert actions.ResetCaller not in kinds
+            assert (actions.SendDaemon in kinds) == (unheard_ms == 0)
+
     def test_open_flows_go_on(self) -> None:
         """Guards against flows that stand still after a pause."""
         net = network(balancers=2)
