--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 
 import eventlet
@@ -244,10 +245,11 @@
 
 
 def new_sync(
-    on_changes: Callable[[list[replica.StoredObject]], None],
-    on_new_era: Callable[[], None],
+    *,
+    on_new_era: Callable[[], None] = lambda: None,
+    neighbours: Iterable[messages.Address] = (),
 ) -> _record_sync.RecordSync:
-    """Returns the replica of a balancer that is not started."""
+    """Returns the replica of a balancer without a platform."""
     ports = [processes.free_port() for _ in range(3)]
     public, peer, admin = ({"ip": "127.0.0.1", "port": p} for p in ports)
     settings = {
@@ -259,11 +261,11 @@
         "admin": admin,
         "platform_url": "http://127.0.0.1:1",
         "cluster_key_hex": processes.CLUSTER_KEY_HEX,
-        "neighbours": [],
+        "neighbours": [address._asdict() for address in neighbours],
     }
     return _record_sync.RecordSync(
         settings_module.parse(json.dumps(settings).encode()),
-        on_changes=on_changes,
+        on_changes=lambda changes: None,
         on_new_era=on_new_era,
         rng=random.Random(1),
     )
@@ -285,7 +287,7 @@
         now_ms = [1_000_000]
         monkeypatch.setattr(_record_sync.clock, "now_ms", lambda: now_ms[0])
         eras: list[int] = []
-        sync = new_sync(lambda changes: None, lambda: eras.append(1))
+        sync = new_sync(on_new_era=lambda: eras.append(1))
 
         def list_keyring(key_id: int, store_revision: int, era: int) -> Any:
             revision = revisions.of_store(store_revision, era=era)
@@ -306,7 +308,7 @@
     def test_neighbour_without_memory_reverts_nothing(self) -> None:
         """Guards against records that a new daemon has read from the copy."""
         eras: list[int] = []
-        sync = new_sync(lambda changes: None, lambda: eras.append(1))
+        sync = new_sync(on_new_era=lambda: eras.append(1))
         sync._apply_listing(
             client.Listing(20, [self.keyring(2, 20)], complete=True)
         )
@@ -323,7 +325,7 @@
 
     def test_daemon_without_records_is_unsettled_at_first(self) -> None:
         """Guards against a new daemon that is taken for one with memory."""
-        sync = new_sync(lambda changes: None, lambda: None)
+        sync = new_sync()
         sync._apply_listing(
             client.Listing(20, [self.keyring(2, 20)], complete=True)
         )
@@ -338,35 +340,17 @@
         key = bytes.fromhex(processes.CLUSTER_KEY_HEX)
         peers = [
             messages.Address("127.0.0.1", processes.free_port())
-            for _ in range(4)
+            for _ in range(3)
         ]
         servers = []
-        for revision, address in zip((5, 9, 7), peers[1:], strict=True):
+        for revision, address in zip((5, 9, 7), peers, strict=True):
             held = replica.Replica()
             stored = replica.StoredObject("records/a/b", revision, {})
             held.apply([stored], revision=revision)
             servers.append(records.RecordServer(address, held, key=key))
             servers[-1].start()
-        closed = processes.free_port()
-        settings = {
-            "name": "balancer-9",
-            "role": "balancer",
-            "data_centre": "etela-a",
-            "peer": peers[0]._asdict(),
-            "public": peers[0]._asdict(),
-            "admin": {"ip": "127.0.0.1", "port": closed},
-            "platform_url": f"http://127.0.0.1:{closed}",
-            "cluster_key_hex": processes.CLUSTER_KEY_HEX,
-            "neighbours": [
-                {"ip": "127.0.0.1", "port": closed},
-                *(address._asdict() for address in peers[1:]),
-            ],
-        }
-        sync = _record_sync.RecordSync(
-            settings_module.parse(json.dumps(settings).encode()),
-            on_changes=lambda changes: None,
-            rng=random.Random(1),
-        )
+        closed = messages.Address("127.0.0.1", processes.free_port())
+        sync = new_sync(neighbours=[closed, *peers])
         sync.start()
         with eventlet.Timeout(10):
             while sync.counters["fetches"] < 3:
--- a/tests/test_l4_beliefs.py
+++ b/tests/test_l4_beliefs.py
@@ -2,6 +2,7 @@
 
 import random
 from typing import Any
+from typing import BinaryIO
 
 import eventlet
 import pytest
@@ -113,6 +114,25 @@
         self.names.discard(name)
 
 
+def new_directory(fake_store: _Store, sink: BinaryIO) -> _directory.Directory:
+    """Returns the directory client of an agent that starts for the first time.
+
+    Args:
+        fake_store: Store that the entry is written to.
+        sink: File for the log.
+    """
+    return _directory.Directory(
+        fake_store,  # type: ignore[arg-type]
+        name="agent-1",
+        entry=_directory.Entry("agent", "10.2.0.1", 1, 1),
+        is_first_start=True,
+        on_entries=lambda entries: None,
+        needs_directory=lambda: False,
+        log=decision_log.DecisionLog(name="test", fd=sink.fileno()),
+        rng=random.Random(1),
+    )
+
+
 class TestOwnEntry:
     """The directory entry of an agent whose backend server comes and goes."""
 
@@ -124,16 +144,7 @@
         """
         fake_store = _Store()
         with open("/dev/null", "wb") as sink:
-            directory = _directory.Directory(
-                fake_store,  # type: ignore[arg-type]
-                name="agent-1",
-                entry=_directory.Entry("agent", "10.2.0.1", 1, 1),
-                is_first_start=True,
-                on_entries=lambda entries: None,
-                needs_directory=lambda: False,
-                log=decision_log.DecisionLog(name="test", fd=sink.fileno()),
-                rng=random.Random(1),
-            )
+            directory = new_directory(fake_store, sink)
             directory.start()
             eventlet.sleep(0.01)
             assert fake_store.names == {"agent-1"}
@@ -159,16 +170,7 @@
         monkeypatch.setattr(_directory, "REWRITE_WINDOW_S", 0.0)
         fake_store = _Store()
         with open("/dev/null", "wb") as sink:
-            directory = _directory.Directory(
-                fake_store,  # type: ignore[arg-type]
-                name="agent-1",
-                entry=_directory.Entry("agent", "10.2.0.1", 1, 1),
-                is_first_start=True,
-                on_entries=lambda entries: None,
-                needs_directory=lambda: False,
-                log=decision_log.DecisionLog(name="test", fd=sink.fileno()),
-                rng=random.Random(1),
-            )
+            directory = new_directory(fake_store, sink)
             # Before the first write there is nothing to repeat.
             directory.on_era(1)
             directory.start()
--- a/tests/test_l4_restored.py
+++ b/tests/test_l4_restored.py
@@ -161,6 +161,7 @@
 A = frozenset({"a"})
 B = frozenset({"b"})
 NONE: frozenset[str] = frozenset()
+IN_FORCE = routes.Evacuations(20, A)
 
 
 class TestEvacuations:
@@ -176,7 +177,7 @@
         a balancer that follows both has no agents left.
         """
         core = new_balancer()
-        core.set_evacuations(routes.Evacuations(20, A), source="store")
+        core.set_evacuations(IN_FORCE, source="store")
         for revision, listed, is_settled, expected in (
             (18, B, False, A),
             (19, NONE, False, A),
@@ -203,18 +204,10 @@
         copied = routes.Evacuations(restored(18), B, is_settled=False)
         core.set_evacuations(copied, source="store")
         assert core.evacuations.data_centres == B
-        known = routes.Evacuations(20, A)
-        core.on_message(revisions_of_peer(evacuations=known), NOW_MS)
-        assert core.evacuations.data_centres == A
-
-    def test_unknown_evacuations_settle_nothing(self) -> None:
-        """Guards against a starting peer that ends an evacuation."""
-        core = new_balancer()
-        core.set_evacuations(
-            routes.Evacuations(5, A, is_settled=False), source="store"
-        )
-        core.on_message(revisions_of_peer(), NOW_MS)
-        assert core.evacuations.data_centres == A
+        # The first peer has just started.
+        for known, expected in ((routes.Evacuations(), B), (IN_FORCE, A)):
+            core.on_message(revisions_of_peer(evacuations=known), NOW_MS)
+            assert core.evacuations.data_centres == expected
 
     def test_agent_stays_evacuated_until_the_era_is_settled(self) -> None:
         """Guards against an agent that takes flows of an older balancer."""
@@ -264,19 +257,29 @@
 class TestFollower:
     """Contents that may lack what other writers are about to repeat."""
 
-    def test_contents_settle_in_each_era(self) -> None:
-        """Guards against losses of the store that are taken for changes."""
-        fake: Any = _EraStore()
-        found: list[_store_follower.Contents] = []
-        follower = _store_follower.StoreFollower(
+    def follow(
+        self,
+        fake: Any,
+        on_objects: _store_follower.OnObjects,
+        *,
+        settle_ms: int = 0,
+    ) -> _store_follower.StoreFollower:
+        """Returns a follower whose steps the test takes."""
+        return _store_follower.StoreFollower(
             fake,
             "evacuations",
-            on_objects=found.append,
-            settle_ms=200,
+            on_objects=on_objects,
+            settle_ms=settle_ms,
             balancers=lambda: 1,
             log=decision_log.DecisionLog(name="test"),
             rng=random.Random(1),
         )
+
+    def test_contents_settle_in_each_era(self) -> None:
+        """Guards against losses of the store that are taken for changes."""
+        fake: Any = _EraStore()
+        found: list[_store_follower.Contents] = []
+        follower = self.follow(fake, found.append, settle_ms=200)
         for era in (1, 2):
             fake.era = era
             while not found or revisions.era_of(found[-1].revision) < era:
@@ -292,15 +295,7 @@
     def test_first_watch_after_an_outage_does_not_wait(self) -> None:
         """Guards against a new era that is noticed seconds later."""
         fake: Any = _EraStore()
-        follower = _store_follower.StoreFollower(
-            fake,
-            "config",
-            on_objects=lambda contents: None,
-            settle_ms=0,
-            balancers=lambda: 1,
-            log=decision_log.DecisionLog(name="test"),
-            rng=random.Random(1),
-        )
+        follower = self.follow(fake, lambda contents: None)
         follower._step()
         follower._step()
         assert fake.wait_ms > 0
--- a/tests/test_packet_daemon.py
+++ b/tests/test_packet_daemon.py
@@ -395,27 +395,17 @@
 class TestStoreRestored:
     """The store returns from a copy that lacks the newest changes."""
 
-    def configure(self, site: Site, version: int) -> None:
-        """Writes a version of the configuration, as the operators do."""
-        site.store.replace("config", "main", configuration(version))
-
-    def restore(self, site: Site) -> None:
-        """Replaces the store by its copy."""
-        processes.post_json(site.fleet.platform_port, "/restore", {})
+    def dumped(self, site: Site, field: str) -> list[Any]:
+        """Returns a field of each balancer's state."""
+        return [json.loads(site.get(ip, "/dump"))[field] for ip in BALANCER_IPS]
 
     def versions(self, site: Site) -> list[int]:
         """Returns the version of the configuration at each balancer."""
-        return [
-            json.loads(site.get(ip, "/dump"))["configuration_version"]
-            for ip in BALANCER_IPS
-        ]
+        return self.dumped(site, "configuration_version")
 
     def evacuated(self, site: Site) -> list[list[str]]:
         """Returns the evacuated data centres at each balancer."""
-        return [
-            json.loads(site.get(ip, "/dump"))["evacuated"]
-            for ip in BALANCER_IPS
-        ]
+        return self.dumped(site, "evacuated")
 
     def test_configuration_written_after_the_return_is_in_force(
         self, site: Site
@@ -423,13 +413,13 @@
         """Guards against changes refused because revisions have gone back."""
         processes.post_json(site.fleet.platform_port, "/copy", {})
         for version in (4, 5):
-            self.configure(site, version)
+            site.store.replace("config", "main", configuration(version))
         processes.wait_until(lambda: self.versions(site) == [5, 5])
-        self.restore(site)
+        processes.post_json(site.fleet.platform_port, "/restore", {})
         time.sleep(2.0)
         assert self.versions(site) == [5, 5]
         for version in (5, 6):
-            self.configure(site, version)
+            site.store.replace("config", "main", configuration(version))
         processes.wait_until(
             lambda: self.versions(site) == [6, 6], timeout_s=3.0
         )
@@ -442,7 +432,7 @@
             site.store.delete("evacuations", "b")
         site.store.create("evacuations", "a", {})
         processes.wait_until(lambda: self.evacuated(site) == [["a"], ["a"]])
-        self.restore(site)
+        processes.post_json(site.fleet.platform_port, "/restore", {})
         end_s = time.monotonic() + 1.5
         while time.monotonic() < end_s:
             assert self.evacuated(site) == [["a"], ["a"]]
@@ -462,7 +452,7 @@
         for name in ("agent-127.60.2.1", "balancer-127.60.1.1"):
             site.store.delete("sapphirelift-daemons", name)
         processes.post_json(site.fleet.platform_port, "/copy", {})
-        self.restore(site)
+        processes.post_json(site.fleet.platform_port, "/restore", {})
         processes.wait_until(
             lambda: (
                 len(site.store.list_kind("sapphirelift-daemons").objects) == 4
