Accept stores that count their eras from 0

An era of 0 was taken for an unusable header, so at such a store no call would have had an answer. Eras now count from 0, a store without the header is in era 0, and daemons that have heard of no era are told apart from those in era 0. At a store that counts from 1, a missing lease is waited for also at its first start.

--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -94,7 +94,7 @@
         self._epoch = epoch
         self._on_read = on_read
         self._on_new_era = on_new_era
-        self._era = 0
+        self._era: int | None = None
         self._settles_ms = 0
         self._rng = rng
         self._fetching: set[messages.Address] = set()
@@ -214,7 +214,7 @@
         """
         era = revisions.era_of(revision)
         in_force = self.replica.revision
-        if era > self._era:
+        if self._era is None or era > self._era:
             self._era = era
             if in_force:
                 self._settles_ms = clock.now_ms() + revisions.REWRITE_MS
@@ -234,7 +234,7 @@
 
     def _note_era_of_neighbour(self, era: int) -> None:
         """Records an era that a neighbour has found to be settled."""
-        if era > self._era and self.replica.revision:
+        if self.replica.revision and (self._era is None or era > self._era):
             self._era = era
             self._on_new_era()
 
--- a/sapphirelift/_store_follower.py
+++ b/sapphirelift/_store_follower.py
@@ -95,7 +95,7 @@
         self._rng = rng
         self._objects: dict[str, store_module.Object] = {}
         self._revision: int | None = None
-        self._era = 0
+        self._era: int | None = None
         self._settles_ms = 0
         self._last_answer_ms = clock.now_ms()
 
@@ -134,7 +134,7 @@
                 ),
             )
             era = revisions.era_of(listing.revision)
-            if era > self._era:
+            if self._era is None or era > self._era:
                 self._era = era
                 self._settles_ms = clock.now_ms() + self._settle_ms
             self._pass_on()
--- a/sapphirelift/platform/client.py
+++ b/sapphirelift/platform/client.py
@@ -87,7 +87,10 @@
 
     @property
     def has_been_restored(self) -> bool:
-        """Whether the store has ever returned from an older copy."""
+        """Whether the store may have returned from an older copy.
+
+        A store whose first era is 1 cannot be told from one that has.
+        """
         return self.store.era > revisions.FIRST_ERA
 
     def get(self, key: str) -> replica.StoredObject | None:
--- a/sapphirelift/platform/store.py
+++ b/sapphirelift/platform/store.py
@@ -145,7 +145,8 @@
         calls: Number of calls by kind of call; a watch counts as one call.
         failures: Number of calls without a usable answer, by kind of call.
         skipped: Number of items that could not be decoded as objects.
-        era: Newest era seen in an answer; 0 before the first one.
+        era: Newest era seen in an answer; ``revisions.FIRST_ERA`` before the
+            first one.
         restores: Number of times that the era has grown since the first
             answer.
     """
@@ -170,8 +171,9 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.failures: collections.Counter[str] = collections.Counter()
         self.skipped = 0
-        self.era = 0
+        self.era = revisions.FIRST_ERA
         self.restores = 0
+        self._has_era = False
         self._announced_era = 0
         self._watching: set[greenlet.greenlet] = set()
 
@@ -490,15 +492,16 @@
         An answer without the header is taken as one of the newest era.
         """
         if header is None:
-            return max(self.era, revisions.FIRST_ERA)
+            return self.era
         is_number = header.isascii() and header.isdecimal()
-        era = int(header) if is_number and len(header) <= MAX_ERA_DIGITS else 0
+        era = int(header) if is_number and len(header) <= MAX_ERA_DIGITS else -1
         if not revisions.FIRST_ERA <= era <= revisions.MAX_ERA:
             raise self._failure(call, f"era {header[:20]!r}")
         if era > self.era:
-            self.restores += self.era > 0
+            self.restores += self._has_era
             self.era = era
             self._end_watches()
+        self._has_era = True
         return era
 
     def _end_watches(self) -> None:
