--- a/sapphirelift/bench/soak.py
+++ b/sapphirelift/bench/soak.py
@@ -276,12 +276,12 @@
             _Instance(f"agent-{n}", f"127.61.2.{n}", DATA_CENTRES[n % 2])
             for n in range(1, options.agents + 1)
         ]
+        self._instances = [*self._agents, *self._balancers]
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((CALLER_IP, self._ports.packets))
         self._callers: dict[packet.FlowKey, flow_ends.CallerFlow] = {}
         self._next_port = 10_000
         self._rotation: list[_Instance] = []
-        self._misses: dict[str, int] = {}
         self._disruptions = soak_judge.Disruptions()
         self._attempts: list[soak_judge.Attempt] = []
         self._broken: list[soak_judge.BrokenFlow] = []
@@ -303,7 +303,7 @@
         self._backends = [
             _Backend(agent, self._ports, self._rng) for agent in self._agents
         ]
-        for instance in [*self._agents, *self._balancers]:
+        for instance in self._instances:
             self._start(instance)
         for backend in self._backends:
             tasks.spawn("backend", backend.receive_forever)
@@ -339,7 +339,7 @@
     def find_failures(self) -> list[str]:
         """Returns tasks and daemons that have failed on their own."""
         found = [f"soak failed: {name}" for name in tasks.failures]
-        for instance in [*self._agents, *self._balancers]:
+        for instance in self._instances:
             process = self._fleet.processes[instance.name]
             if process.poll() is not None and not instance.is_stopped_by_soak:
                 found.append(f"ended: {instance.name}, {process.returncode}")
@@ -401,7 +401,7 @@
             eventlet.sleep(TICK_S)
             if self._now_s() - from_s > STALL_S:
                 self._log_fault(f"stalled {self._now_s() - from_s:.1f} s")
-                for instance in [*self._balancers, *self._agents]:
+                for instance in self._instances:
                     self._disruptions.add(instance.name, from_s, self._now_s())
 
     # Callers.
@@ -553,8 +553,7 @@
             eventlet.spawn_after(delay_s, tasks.spawn, "fault", fault)
 
     def _pick(self) -> _Instance:
-        instance = self._rng.choice([*self._balancers, *self._agents])
-        return instance
+        return self._rng.choice(self._instances)
 
     def _log_fault(self, text: str) -> None:
         self.faults.append(f"{self._now_s():.2f} {text}")
