Compute the era of a single object's revision once

The client qualified the revision of an object twice. has_been_restored is named may_have_been_restored, since a store that counts its eras from 1 cannot be told from one that has returned. No change of behaviour; lint, types and the tests of the store's client, eras, lease, directory and malformed input passed.

--- a/sapphirelift/_status_writer.py
+++ b/sapphirelift/_status_writer.py
@@ -88,7 +88,7 @@
             self.lease.on_read(
                 held,
                 now_ms=clock.now_ms(),
-                may_be_lost=self._platform.has_been_restored,
+                may_be_lost=self._platform.may_have_been_restored,
             )
         started_ms = clock.now_ms()
         write = self.lease.attempt(started_ms)
--- a/sapphirelift/platform/client.py
+++ b/sapphirelift/platform/client.py
@@ -86,7 +86,7 @@
         return self.store.failures
 
     @property
-    def has_been_restored(self) -> bool:
+    def may_have_been_restored(self) -> bool:
         """Whether the store may have returned from an older copy.
 
         A store whose first era is 1 cannot be told from one that has.
--- a/sapphirelift/platform/store.py
+++ b/sapphirelift/platform/store.py
@@ -415,8 +415,8 @@
 
     def _decode_object(self, call: str, answer: Answer) -> Object:
         decoded = self._decode(call, answer, _Object)
-        self._qualify(call, decoded.meta.revision, answer)
-        return _new_object(decoded, answer.era)
+        revision = self._qualify(call, decoded.meta.revision, answer)
+        return Object(decoded.meta.name, revision, decoded.spec)
 
     def _qualify(self, call: str, store_revision: int, answer: Answer) -> int:
         """Returns a revision with the era of the answer that contains it."""
