Keep the flows of a server that is a second older than its restarted agent

Cause: an agent that starts beside a server takes its flow table for complete if the server is at most 1.5 s older, and then denies flows that it does not know. The tolerance had to cover the imports of the agent's process, and was longer than the time in which an agent can be killed and started again.

Fix: the time of the start is taken before the imports, and the tolerance is the 0.5 s that a supervisor may need between two processes.

Evidence: the new test fails with 1.5 s (flows reset) and passes with 0.5 s.

--- a/sapphirelift/_packet_agent.py
+++ b/sapphirelift/_packet_agent.py
@@ -26,7 +26,15 @@
 class PacketAgentNode(_packet_node.PacketNode):
     """Sockets, HTTP servers and heartbeats of an agent."""
 
-    def __init__(self, settings: deployment.Deployment) -> None:
+    def __init__(
+        self, settings: deployment.Deployment, *, started_unix_ms: int
+    ) -> None:
+        """Creates the node; nothing is sent before ``start``.
+
+        Args:
+            settings: Settings of the daemon.
+            started_unix_ms: Wall-clock time of the start of the process.
+        """
         super().__init__(settings)
         self.core: agent_module.Agent = agent_module.Agent(
             agent_module.Identity(
@@ -38,7 +46,7 @@
                 region=settings.region,
             ),
             report_interval_ms=round(settings.report_interval_ms),
-            started_unix_ms=self.started_unix_ms,
+            started_unix_ms=started_unix_ms,
             is_first_start=settings.is_first_start,
             now_ms=clock.now_ms(),
         )
--- a/sapphirelift/_packet_node.py
+++ b/sapphirelift/_packet_node.py
@@ -2,7 +2,6 @@
 
 import collections
 import random
-import time
 from typing import Any
 from typing import Protocol
 
@@ -79,7 +78,6 @@
     ) -> None:
         self.settings = settings
         self.incarnation = clock.new_incarnation()
-        self.started_unix_ms = time.time_ns() // 1_000_000
         self.rng = random.Random(self.incarnation)
         self.log = decision_log.DecisionLog(name=settings.name)
         self.store = store_module.Store(
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -45,10 +45,10 @@
 RESPONSE_SMOOTHING = 0.1
 # Time constant of the moving average of requests in progress.
 ACTIVE_REQUESTS_AVERAGE_MS = 1000
-# An agent and its backend server start together. A backend server that started
-# earlier than this before the agent may have flows opened through an earlier
-# incarnation of the agent.
-START_TOLERANCE_MS = 1500
+# The supervisor of an instance starts the processes of the agent and of its
+# backend server within this time. A backend server that started earlier may
+# have flows opened through an earlier incarnation of the agent.
+START_TOLERANCE_MS = 500
 
 
 class Identity(NamedTuple):
@@ -89,7 +89,7 @@
         Args:
             identity: Name, address and location.
             report_interval_ms: Interval of the backend server's reports.
-            started_unix_ms: Wall-clock time of the agent's start.
+            started_unix_ms: Wall-clock time of the start of the process.
             is_first_start: Whether the whole system starts for the first
                 time, so that no earlier flows exist.
             now_ms: Current time.
--- a/sapphirelift/packet_daemon.py
+++ b/sapphirelift/packet_daemon.py
@@ -3,7 +3,11 @@
 import os
 import signal
 import sys
+import time
 
+# Taken before the imports below, which last as long as the start of a backend
+# server.
+_STARTED_UNIX_MS = time.time_ns() // 1_000_000
 _early_reloads: list[int] = []
 if __name__ == "__main__":
     # SIGHUP would end the process while the other modules are imported.
@@ -40,7 +44,9 @@
             case "agent":
                 from sapphirelift import _packet_agent  # noqa: PLC0415
 
-                return _packet_agent.PacketAgentNode(settings)
+                return _packet_agent.PacketAgentNode(
+                    settings, started_unix_ms=_STARTED_UNIX_MS
+                )
     except OSError as error:
         raise errors.BindError(str(error)) from error
 
--- a/tests/test_l4_flows.py
+++ b/tests/test_l4_flows.py
@@ -123,6 +123,26 @@
         assert [f.answers for f in flows] == [1] * 20
         assert net.resets == []
 
+    # Guards against resets of the flows of a server that started shortly before
+    # its agent was killed and started again.
+    def test_agent_restart_soon_after_its_server_loses_no_flow(self) -> None:
+        """The agent cannot have all flows of a server that is older."""
+        net = network()
+        for host in net.agents.values():
+            host.start_backend()
+        flows = [net.open_flow() for _ in range(8)]
+        net.run(1000)
+        assert [flow.state for flow in flows] == ["open"] * len(flows)
+        for host in net.agents.values():
+            host.stop_agent()
+        for host in net.agents.values():
+            host.start_agent()
+        for balancer in list(net.balancers):
+            net.add_balancer(balancer)
+        exchange(net, flows)
+        assert net.resets == []
+        assert [flow.answers for flow in flows] == [1] * len(flows)
+
     def test_flow_of_a_service_removed_from_the_route(self) -> None:
         """Guards against resets of flows opened under an earlier traffic split.
 
