Ask neighbours before a new daemon follows a store that may be restored

What callers saw (caller protocol): after the store's return from an older copy, a daemon that started before the operators had written again used what the copy held, for example a withdrawn key or a data centre taken back, although its neighbours knew better.

Cause: a daemon without records applied the store's list at once. Its revision was then the newest of all, so that it refused the records of its neighbours as older. A daemon that got unsettled records of a neighbour during an outage also passed them on as settled.

Fix: a store that names an era may have returned; the list is applied only after the neighbours have been asked. Replies of neighbours with memory are applied first, and then hold like records of the daemon's own. Records of a neighbour without memory stay unsettled.

--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -129,6 +129,8 @@
             try:
                 if before == 0:
                     listing = self.platform.list_objects(*PREFIXES)
+                    if self.platform.may_have_been_restored:
+                        self._fetch_from_neighbours()
                     is_new = self._apply_listing(listing)
                 else:
                     is_new = self._watch(before)
@@ -210,25 +212,23 @@
 
         At the beginning of an era, the store may hold older states of records
         and lack others, until the operators have written them again. A daemon
-        without records takes what there is.
+        that has no records, and gets none of its neighbours, takes what there
+        is.
         """
         era = revisions.era_of(revision)
         in_force = self.replica.revision
+        is_same_era = era <= revisions.era_of(in_force)
         if self._era is None or era > self._era:
             self._era = era
-            if in_force:
+            if not in_force:
+                self._set_unsettled()
+            elif not is_same_era:
                 self._settles_ms = clock.now_ms() + revisions.REWRITE_MS
                 self.counters["store_restores"] += 1
                 eliot.log_message(
                     "store_restored", era=era, revision_in_force=in_force
                 )
                 self._on_new_era()
-            else:
-                self.replica.is_settled = False
-                eventlet.spawn_after(
-                    revisions.REWRITE_MS / 1000, self._set_settled
-                )
-        is_same_era = era <= revisions.era_of(in_force)
         is_settled = clock.now_ms() >= self._settles_ms
         return not in_force or is_same_era or is_settled
 
@@ -238,6 +238,10 @@
             self._era = era
             self._on_new_era()
 
+    def _set_unsettled(self) -> None:
+        self.replica.is_settled = False
+        eventlet.spawn_after(revisions.REWRITE_MS / 1000, self._set_settled)
+
     def _set_settled(self) -> None:
         self.replica.is_settled = True
 
@@ -302,25 +306,40 @@
             self._resync_pending = False
 
     def _fetch_from_neighbours(self) -> None:
-        """Fetches from all neighbours; the newest state of an object wins."""
-        tasks = [
-            eventlet.spawn(self.fetch, neighbour.address)
+        """Fetches from all neighbours; the newest state of an object wins.
+
+        States that neighbours without memory have read from a store that may
+        have returned from an older copy count only if there are no others.
+        """
+        epoch = self._epoch()
+        requests = [
+            eventlet.spawn(self._request_difference, neighbour.address)
             for neighbour in self._settings.neighbours
         ]
-        for task in tasks:
-            task.wait()
+        replies = [request.wait() for request in requests]
+        found = [reply for reply in replies if reply is not None]
+        for reply in sorted(found, key=lambda reply: not reply.is_settled):
+            self._apply_reply(reply, epoch)
 
     def fetch(self, address: messages.Address) -> None:
         """Fetches the changes since the replica's revision from a daemon."""
+        epoch = self._epoch()
+        reply = self._request_difference(address)
+        if reply is not None:
+            self._apply_reply(reply, epoch)
+
+    def _request_difference(
+        self, address: messages.Address
+    ) -> replica.Difference | None:
+        """Returns a daemon's reply; None if it is asked already or fails."""
         if (
             address in self._fetching
             or len(self._fetching) >= MAX_CONCURRENT_FETCHES
         ):
-            return
+            return None
         self._fetching.add(address)
-        epoch = self._epoch()
         try:
-            reply = records.fetch(
+            return records.fetch(
                 address,
                 since=self.replica.revision,
                 key=self._key,
@@ -334,9 +353,11 @@
                 reason=str(error),
                 cause=repr(error.__cause__) if error.__cause__ else None,
             )
-            return
+            return None
         finally:
             self._fetching.discard(address)
+
+    def _apply_reply(self, reply: replica.Difference, epoch: int) -> None:
         self.counters["fetches"] += 1
         if self._apply_difference(reply):
             self._on_read(epoch)
@@ -351,6 +372,8 @@
                 self.counters["unsettled_answers_refused"] += 1
                 return False
             self._note_era_of_neighbour(era)
+        if not self.replica.revision and not difference.is_settled:
+            self._set_unsettled()
         if difference.complete:
             changes = self.replica.replace(
                 difference.objects, revision=difference.revision, trusted=True
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -331,26 +331,81 @@
         )
         assert not sync.replica.difference(0).is_settled
 
+    # Guards against a withdrawn key that is in use again after a restart.
+    @pytest.mark.parametrize("memory_first", [True, False])
+    def test_new_daemon_believes_neighbours_with_memory(
+        self, monkeypatch: pytest.MonkeyPatch, memory_first: bool
+    ) -> None:
+        """A neighbour without memory has read the copy, like the daemon."""
+        restored = revisions.of_store(18, era=2)
+        with_memory, without_memory = replica.Replica(), replica.Replica()
+        with_memory.apply([self.keyring(2, 20)], revision=20)
+        without_memory.apply([self.keyring(1, restored)], revision=restored)
+        without_memory.is_settled = False
+        held = [with_memory, without_memory]
+        sync, servers = sync_with_neighbours(
+            held if memory_first else held[::-1]
+        )
+        sync.platform.store.era = 2
+        copied = client.Listing(
+            restored, [self.keyring(1, restored)], complete=True
+        )
+        monkeypatch.setattr(
+            sync.platform, "list_objects", lambda *prefixes: copied
+        )
+        monkeypatch.setattr(
+            sync.platform, "watch", lambda *prefixes, since, wait_ms: copied
+        )
+        sync.start()
+        with eventlet.Timeout(10):
+            while not sync.replica.revision:
+                eventlet.sleep(0.01)
+        found = sync.replica.get(self.KEY)
+        assert found is not None
+        assert found.value == {"current": 2}
+        for server in servers:
+            server.stop()
+
+    def test_records_of_an_unsettled_neighbour_are_unsettled(self) -> None:
+        """Guards against the copy's records taken for ones with memory."""
+        restored = revisions.of_store(18, era=2)
+        sync = new_sync()
+        sync._apply_difference(
+            replica.Difference(
+                restored, [self.keyring(1, restored)], True, False
+            )
+        )
+        assert not sync.replica.difference(0).is_settled
+
+
+def sync_with_neighbours(
+    held: Iterable[replica.Replica],
+) -> tuple[_record_sync.RecordSync, list[records.RecordServer]]:
+    """Returns a replica whose neighbours serve others; and all servers."""
+    key = bytes.fromhex(processes.CLUSTER_KEY_HEX)
+    servers = []
+    addresses = []
+    for neighbour in held:
+        address = messages.Address("127.0.0.1", processes.free_port())
+        addresses.append(address)
+        servers.append(records.RecordServer(address, neighbour, key=key))
+        servers[-1].start()
+    closed = messages.Address("127.0.0.1", processes.free_port())
+    sync = new_sync(neighbours=[closed, *addresses])
+    return sync, [*servers, sync.server]
+
 
 class TestNeighbours:
     """Startup of an instance while the platform is down."""
 
     def test_newest_of_all_neighbours_is_taken(self) -> None:
         """Guards against keeping the first reply instead of the newest."""
-        key = bytes.fromhex(processes.CLUSTER_KEY_HEX)
-        peers = [
-            messages.Address("127.0.0.1", processes.free_port())
-            for _ in range(3)
-        ]
-        servers = []
-        for revision, address in zip((5, 9, 7), peers, strict=True):
-            held = replica.Replica()
+        held = []
+        for revision in (5, 9, 7):
+            held.append(replica.Replica())
             stored = replica.StoredObject("records/a/b", revision, {})
-            held.apply([stored], revision=revision)
-            servers.append(records.RecordServer(address, held, key=key))
-            servers[-1].start()
-        closed = messages.Address("127.0.0.1", processes.free_port())
-        sync = new_sync(neighbours=[closed, *peers])
+            held[-1].apply([stored], revision=revision)
+        sync, servers = sync_with_neighbours(held)
         sync.start()
         with eventlet.Timeout(10):
             while sync.counters["fetches"] < 3:
@@ -359,7 +414,7 @@
         assert held_object is not None
         assert held_object.revision == 9
         assert sync.replica.revision == 9
-        for server in [*servers, sync.server]:
+        for server in servers:
             server.stop()
 
 
