Never take a late copy of an answer for the next caller's

What callers saw: nothing yet; operators of a similar system reported it. If a backend server sends a second copy of an answer on a connection after the agent has written the next request to it, the next caller gets an answer that is not its own (caller protocol; the packet daemon keeps no connections).

Cause: the agent used connections again, checking only that nothing was readable before it wrote. HTTP/1.1 does not tell which request an answer belongs to.

Fix: each run has an id in the header X-Run-Id. A connection is used again only if the server repeats the id; an answer with another id is Unknown and closes the connection. Request ids would not do, as they are unique only in a flow.

Evidence: with the id sent but not checked, both new tests fail (the second caller gets 'ok' of the first instead of its own answer); they pass now. test_connection_is_reused is replaced: its server repeated no id, so it asked for the fault; it now has a server that does, and also counts connections.

--- a/sapphirelift/backends/client.py
+++ b/sapphirelift/backends/client.py
@@ -4,6 +4,7 @@
 import http.client
 import socket
 import time
+import uuid
 from typing import NamedTuple
 
 import urllib3
@@ -22,6 +23,9 @@
 # The kernel closes a connection whose sent data stays unacknowledged this long.
 USER_TIMEOUT_MS = 3000
 READ_BYTES = 64 << 10
+# Names one run of a request; a backend server may repeat it in its answer.
+# Request ids are only unique within the flow of a caller.
+RUN_ID_HEADER = "X-Run-Id"
 
 _SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -64,6 +68,11 @@
     It manages its connections itself instead of using a urllib3 pool, because
     the outcome depends on whether a failure occurs before the first byte of
     the request is written (``NotRun``) or after it (``Unknown``).
+
+    Nothing in HTTP/1.1 tells which request an answer belongs to. A connection
+    is therefore used for a second run only if the backend server repeats the
+    id of the run in its answers, so that a late copy of the first answer is not
+    taken for the second one.
     """
 
     def __init__(self, address: messages.Address, *, slots: int) -> None:
@@ -172,6 +181,7 @@
     Returns:
         The result, and whether the connection can be reused.
     """
+    run_id = uuid.uuid4().hex
     connection.timeout = _remaining_s(end_s)
     try:
         connection.request(
@@ -180,6 +190,7 @@
             body=run.body,
             headers={
                 "X-Request-Id": str(run.request_id),
+                RUN_ID_HEADER: run_id,
                 "X-Deadline-Ms": str(run.deadline_ms),
                 "X-Caller": run.caller,
             },
@@ -194,6 +205,9 @@
         pass
     connection.timeout = _remaining_s(end_s)
     response = connection.getresponse()
+    answered_id = response.headers.get(RUN_ID_HEADER)
+    if answered_id not in (None, run_id):
+        return RunResult(outcomes.Unknown("answer_to_another_run")), False
     if response.status == 503 and response.headers.get("X-Not-Run") == "1":
         return RunResult(outcomes.NotRun("shed"), shed=True), False
     if response.length_remaining is None and not response.chunked:
@@ -214,7 +228,8 @@
         if time.monotonic() >= end_s:
             raise TimeoutError
     answered = outcomes.Answered(response.status, bytes(body))
-    return RunResult(answered), connection.sock is not None
+    is_reusable = connection.sock is not None and answered_id is not None
+    return RunResult(answered), is_reusable
 
 
 CANCELLED = RunResult(outcomes.Unknown("cancelled"))
--- a/sapphirelift/standins/backend_server.py
+++ b/sapphirelift/standins/backend_server.py
@@ -281,6 +281,9 @@
     ) -> None:
         self.send_response(status)
         self.send_header("X-Backend", self.backend.options.name)
+        run_id = self.headers.get("X-Run-Id")
+        if run_id is not None:
+            self.send_header("X-Run-Id", run_id)
         self.send_header("Content-Length", str(len(body) + missing))
         for name, value in (headers or {}).items():
             self.send_header(name, value)
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -15,6 +15,8 @@
 from sapphirelift.core.requests import transfer
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+# The scripted server puts the id of the run into such an answer.
+OK_WITH_ID = OK.replace(b"\r\n\r\n", b"\r\nX-Run-Id: %s\r\n\r\n")
 SHED = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 9\r\n\r\n"
 BUSY = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
 PARTIAL = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"
@@ -27,28 +29,37 @@
 CUT = outcomes.Unknown("connection_cut")
 
 
-def _read_request(connection: socket.socket) -> bool:
-    """Reads to the end of the body; closing before that would send a reset."""
+def _read_request(connection: socket.socket) -> bytes:
+    """Reads to the end of the body; closing before that would send a reset.
+
+    Returns:
+        The id of the run; empty if the connection has ended.
+    """
     data = b""
     while not data.endswith(BODY):
         part = connection.recv(65536)
         if not part:
-            return False
+            return b""
         data += part
-    return True
+    return data.split(b"X-Run-Id: ")[1].split(b"\r\n")[0]
 
 
 class ScriptedServer:
     """Answers each request with the next script entry.
 
     An entry is the bytes to send; None means silence. The connection is
-    closed after each answer, or kept if ``keep`` is set.
+    closed after each answer, or kept if ``keep`` is set. With ``copies``, each
+    answer on a connection follows a second copy of the one before.
     """
 
-    def __init__(self, script: list[bytes | None], *, keep: bool) -> None:
+    def __init__(
+        self, script: list[bytes | None], *, keep: bool, copies: bool
+    ) -> None:
         self.script = script
         self.keep = keep
+        self.copies = copies
         self.requests = 0
+        self.connections = 0
         self.closed_by_client = threading.Event()
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = messages.Address(*self.listener.getsockname())
@@ -56,16 +67,21 @@
 
     def _serve(self) -> None:
         while connection := self._accept():
+            self.connections += 1
+            copy = b""
             with connection:
-                while _read_request(connection):
+                while run_id := _read_request(connection):
                     self.requests += 1
                     answer = self.script.pop(0)
                     if answer is None:
                         connection.recv(1)
                         self.closed_by_client.set()
                         break
+                    answer = answer.replace(b"%s", run_id)
                     with contextlib.suppress(OSError):
-                        connection.sendall(answer)
+                        connection.sendall(copy + answer)
+                    if self.copies:
+                        copy = answer
                     if not self.keep:
                         break
 
@@ -80,8 +96,10 @@
     """Yields a function that starts scripted servers, and closes them."""
     with contextlib.ExitStack() as servers:
 
-        def start(*script: bytes | None, keep: bool = False) -> ScriptedServer:
-            server = ScriptedServer(list(script), keep=keep)
+        def start(
+            *script: bytes | None, keep: bool = False, copies: bool = False
+        ) -> ScriptedServer:
+            server = ScriptedServer(list(script), keep=keep, copies=copies)
             servers.enter_context(server.listener)
             return server
 
@@ -164,10 +182,29 @@
 
     def test_connection_is_reused(self, serve: Serve) -> None:
         """Guards against a new connection for each request."""
-        server = serve(OK, OK, keep=True)
+        server = serve(OK_WITH_ID, OK_WITH_ID, keep=True)
         backend = client.BackendClient(server.address, slots=2)
-        assert run(backend).outcome == run(backend).outcome
+        assert run(backend).outcome == run(backend).outcome == OK_OUTCOME
         assert server.requests == 2
+        assert server.connections == 1
+
+    # Guards against a late second copy of an answer that the next caller gets.
+    @pytest.mark.parametrize(
+        ("first", "expected"),
+        [
+            (OK_WITH_ID, outcomes.Unknown("answer_to_another_run")),
+            (OK, outcomes.Answered(200, b"no")),
+        ],
+    )
+    def test_copy_of_an_answer_reaches_no_other_caller(
+        self, serve: Serve, first: bytes, expected: outcomes.Outcome
+    ) -> None:
+        """A server that repeats no ids gets a new connection for each run."""
+        second = first.replace(b"ok", b"no")
+        server = serve(first, second, keep=True, copies=True)
+        backend = client.BackendClient(server.address, slots=2)
+        assert run(backend).outcome == OK_OUTCOME
+        assert run(backend).outcome == expected
 
     def test_request_that_cannot_be_written_is_not_run(
         self, serve: Serve
