Answer requests that have just arrived at a TCP entry that stops

Cause: the WSGI server shuts down each connection on which it has not read a request line, whether or not one waits in the socket, and leaves connections in the accept queue. Open connections were not told that they end.

Fix: the entry goes on for 0.5 s after a stop, answers what arrives, and closes each connection with its answer, which says so.

Evidence: 40 requests, half on open connections and half in the accept queue, sent just before the stop: none of the first was answered on the code before (the test fails at the first), all 40 are now.

--- a/sapphirelift/callers/tcp_entry.py
+++ b/sapphirelift/callers/tcp_entry.py
@@ -2,7 +2,7 @@
 
 Each TCP connection has a session of its own, so on a planned change its flow
 moves like any other flow. The connection itself ends when the balancer that
-accepted it stops.
+accepted it stops; the last answer on it says so.
 """
 
 import contextlib
@@ -31,6 +31,8 @@
 OPEN_TIMEOUT_S = 5.0
 DEFAULT_DEADLINE_MS = 30_000
 MAX_CONNECTIONS = 1000
+# Requests in transit to a gateway that stops arrive within this time.
+LINGER_S = 0.5
 
 
 class _Connection:
@@ -90,6 +92,8 @@
         self._listener = eventlet.listen(address)
         self._connections: dict[tuple[str, str], _Connection] = {}
         self._task: eventlet.greenthread.GreenThread | None = None
+        self._is_stopping = False
+        self._protocols: set[eventlet.wsgi.HttpProtocol] = set()
 
     def start(self) -> None:
         """Starts accepting connections."""
@@ -114,10 +118,20 @@
         return self._task is None or self._task.dead
 
     def stop(self) -> None:
-        """Stops accepting connections and closes idle ones.
+        """Begins to stop; returns at once.
 
-        Every other connection is closed when its current request has ended.
+        Requests that still arrive within ``LINGER_S`` are answered. Each
+        connection is closed after its current request, and after that time if
+        it has none.
         """
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        for protocol in self._protocols:
+            protocol.close_connection = True
+        eventlet.spawn_after(LINGER_S, self._close)
+
+    def _close(self) -> None:
         if self._task is not None:
             self._task.kill()
         self._listener.close()
@@ -134,8 +148,21 @@
         class Protocol(eventlet.wsgi.HttpProtocol):
             """HTTP connection that closes its session when it ends."""
 
+            def setup(self) -> None:
+                """Prepares the connection."""
+                super().setup()
+                gateway._protocols.add(self)
+
+            def parse_request(self) -> bool:
+                """Reads a request, the last one if the gateway stops."""
+                is_valid = super().parse_request()
+                if gateway._is_stopping:
+                    self.close_connection = True
+                return is_valid
+
             def finish(self) -> None:
                 """Cleans up after the connection."""
+                gateway._protocols.discard(self)
                 super().finish()
                 gateway.close_session(self.client_address)
 
--- a/tests/test_tcp_entry.py
+++ b/tests/test_tcp_entry.py
@@ -5,10 +5,12 @@
 from http import client as blocking_client
 
 import eventlet
+import pytest
 from eventlet.green.http import client as http_client
 
 from sapphirelift import messages
 from sapphirelift.callers import tcp_entry
+from sapphirelift.core.requests import outcomes
 from sapphirelift.platform import client as platform_client
 from tests import processes
 
@@ -84,6 +86,92 @@
         entry.stop()
 
 
+class _AnsweringConnection:
+    """Answers each request with its path, without a balancer."""
+
+    def __init__(self, entry: tcp_entry.TcpEntry) -> None:
+        del entry
+
+    def request(
+        self, method: str, path: str, body: bytes, deadline_ms: int
+    ) -> outcomes.Outcome:
+        """Answers after a moment."""
+        del method, body, deadline_ms
+        eventlet.sleep(0.02)
+        return outcomes.Answered(200, path.encode())
+
+    def close(self) -> None:
+        """Does nothing."""
+
+
+class TestPlannedStop:
+    """Requests that arrive around the moment of a stop."""
+
+    ADDRESS = messages.Address("127.0.0.1", 0)
+
+    def start(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> tuple[tcp_entry.TcpEntry, messages.Address]:
+        """Starts a gateway that answers requests itself."""
+        monkeypatch.setattr(tcp_entry, "_Connection", _AnsweringConnection)
+        address = messages.Address("127.0.0.1", processes.free_port())
+        entry = tcp_entry.TcpEntry(
+            service=SERVICE, address=address, balancer=self.ADDRESS
+        )
+        entry.start()
+        eventlet.sleep(0.01)
+        return entry, address
+
+    def stop(self, entry: tcp_entry.TcpEntry) -> None:
+        """Stops a gateway and waits for its end."""
+        entry.stop()
+        with eventlet.Timeout(5):
+            while not entry.has_ended:
+                eventlet.sleep(0.01)
+
+    def send(self, connection: socket.socket, path: str) -> None:
+        """Sends a request."""
+        connection.settimeout(2.0)
+        connection.sendall(f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+
+    def read_answer(self, connection: socket.socket) -> bytes:
+        """Reads all answers until the gateway closes the connection."""
+        data = b""
+        while part := connection.recv(65536):
+            data += part
+        return data
+
+    # Guards against accepted requests that a stop cuts off without an answer.
+    def test_requests_that_have_just_arrived_are_answered(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Some are unread on open connections, some in the accept queue."""
+        entry, address = self.start(monkeypatch)
+        opened = [socket.create_connection(address) for _ in range(20)]
+        eventlet.sleep(0.05)
+        queued = [socket.create_connection(address) for _ in range(20)]
+        for number, connection in enumerate([*opened, *queued]):
+            self.send(connection, f"/{number}")
+        self.stop(entry)
+        for number, connection in enumerate([*opened, *queued]):
+            answer = self.read_answer(connection)
+            assert answer.endswith(f"/{number}".encode())
+            assert b"connection: close" in answer.lower()
+            connection.close()
+
+    def test_idle_connections_are_closed(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a stop that waits for callers without a request."""
+        entry, address = self.start(monkeypatch)
+        idle = socket.create_connection(address)
+        eventlet.sleep(0.05)
+        self.stop(entry)
+        assert self.read_answer(idle) == b""
+        assert is_closed(address.port)
+        idle.close()
+
+
 def ask(port: int, path: str, body: bytes) -> tuple[int, bytes]:
     """Sends one request as curl would."""
     connection = blocking_client.HTTPConnection("127.0.0.1", port, timeout=10)
