Refuse garbled record and member objects instead of believing them

What callers saw: nothing yet; found by looking for what operators of a similar system reported (caller protocol). A record or keyring whose object had an unreadable value went out of force, as if it had been deleted. A member object with garbage in its fields became a member, and failed at each new flow or datagram that used its weight or address.

Cause: a value that is no table was decoded as None, which means a deletion. Announcements were read field by field without a check of their types.

Fix: such a value is empty, which the record set refuses, and the last valid record stays in force. Announcements are checked as a whole, refused ones are counted, and the status command leaves them out.

Evidence: 5 and 10 cases fail on the code before (None instead of a value; a member with port 70000, weight 'heavy' or the name of a host), and pass now.

--- a/sapphirelift/core/membership/membership.py
+++ b/sapphirelift/core/membership/membership.py
@@ -2,10 +2,13 @@
 
 import collections
 import dataclasses
+import ipaddress
 from collections.abc import Callable
 from collections.abc import Collection
+from typing import Annotated
 from typing import Any
 
+import msgspec
 import xxhash
 
 from sapphirelift import messages
@@ -44,6 +47,36 @@
     return max(left, right, key=lambda state: _RANKS.get(state, 0))
 
 
+class Announcement(msgspec.Struct):
+    """Contents of the object by which a process announces itself.
+
+    Attributes:
+        suspected: Whether a watcher has marked it.
+    """
+
+    name: str
+    role: str
+    ip: str
+    port: Annotated[int, msgspec.Meta(gt=0, lt=1 << 16)]
+    incarnation: int
+    data_centre: str
+    service: str
+    weight: Annotated[float, msgspec.Meta(ge=0)]
+    state: str
+    suspected: bool = False
+
+
+def parse_announcement(value: dict[str, Any]) -> Announcement | None:
+    """Returns the contents of an announcement; None if it is malformed."""
+    try:
+        announced = msgspec.convert(value, Announcement)
+        # A host name would cause a DNS lookup for each datagram.
+        ipaddress.IPv4Address(announced.ip)
+    except (msgspec.ValidationError, ValueError):
+        return None
+    return announced
+
+
 @dataclasses.dataclass(slots=True)
 class Member:
     """A process of the cluster as seen by this process.
@@ -181,11 +214,18 @@
     def apply_announcement(
         self, value: dict[str, Any], *, revision: int, key: str = ""
     ) -> None:
-        """Applies an announcement read from the platform."""
-        existing = self.members.get(value["name"])
+        """Applies an announcement read from the platform, unless malformed."""
+        announced = parse_announcement(value)
+        if announced is None:
+            self.counters["announcements_refused"] += 1
+            return
+        existing = self.members.get(announced.name)
         if existing is not None and existing.revision > revision:
             return
-        if existing is not None and existing.incarnation > value["incarnation"]:
+        if (
+            existing is not None
+            and existing.incarnation > announced.incarnation
+        ):
             # A heartbeat of a later incarnation arrived before its
             # announcement. The object of the earlier incarnation is kept so
             # that it can be deleted.
@@ -196,18 +236,18 @@
             self.counters["dropped_members_full"] += 1
             return
         member = Member(
-            name=value["name"],
-            role=value["role"],
-            address=messages.Address(value["ip"], value["port"]),
-            incarnation=value["incarnation"],
-            data_centre=value["data_centre"],
-            service=value["service"],
-            weight=value["weight"],
-            state=value["state"],
+            name=announced.name,
+            role=announced.role,
+            address=messages.Address(announced.ip, announced.port),
+            incarnation=announced.incarnation,
+            data_centre=announced.data_centre,
+            service=announced.service,
+            weight=announced.weight,
+            state=announced.state,
             key=key,
             revision=revision,
             announcement=value,
-            marked=bool(value.get("suspected", False)),
+            marked=announced.suspected,
         )
         if existing is not None and existing.incarnation == member.incarnation:
             member.last_heard_ms = existing.last_heard_ms
--- a/sapphirelift/operators/status.py
+++ b/sapphirelift/operators/status.py
@@ -4,6 +4,7 @@
 import datetime
 from typing import Any
 
+from sapphirelift.core.membership import membership
 from sapphirelift.core.records import record_set
 from sapphirelift.platform import client
 
@@ -65,7 +66,8 @@
             records.apply(item)
             newest_record = max(newest_record, item.revision)
         elif item.key.startswith(MEMBERS_PREFIX):
-            members.append(item.value)
+            if membership.parse_announcement(item.value) is not None:
+                members.append(item.value)
         elif item.key == STATUS_KEY:
             status = item.value
     conditions = status.get("conditions", [])
--- a/sapphirelift/platform/client.py
+++ b/sapphirelift/platform/client.py
@@ -316,6 +316,10 @@
 
 def _new_stored_object(item: store_module.Object) -> replica.StoredObject:
     value = item.value.get("value") if isinstance(item.value, dict) else None
+    if not isinstance(value, dict):
+        # No value would mean a deletion. An empty one is refused, and leaves
+        # the last valid one in force.
+        value = {}
     key = item.name.replace(_SEPARATOR, "/")
     return replica.StoredObject(key, item.revision, value)
 
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -18,6 +18,8 @@
 from sapphirelift import wire
 from sapphirelift.callers import client
 from sapphirelift.core.l4 import messages
+from sapphirelift.core.membership import membership
+from sapphirelift.platform import client as client_module
 from sapphirelift.platform import http
 from sapphirelift.platform import store
 from tests import processes
@@ -65,6 +67,62 @@
             paged.list_kind("kind")
 
 
+class TestRecordObjects:
+    """Objects of the caller protocol that another writer has garbled."""
+
+    # Guards against an unreadable value that takes a valid record out of force.
+    @pytest.mark.parametrize("spec", [1, "text", {}, {"value": None}, []])
+    def test_unreadable_value_is_no_deletion(self, spec: Any) -> None:
+        """Only a deletion removes a record; garbage is refused."""
+        paged = client_module.ObjectClient("http://127.0.0.1:1")
+        listed = store.Object("records:keyring:cluster", 7, spec)
+        paged.store.list_kind = lambda kind: store.Listing(7, [listed])
+        found = paged.list_objects("records/").objects
+        assert [item.value for item in found] == [{}]
+
+
+class TestAnnouncements:
+    """Members announced by objects with garbage in their fields."""
+
+    VALID: dict[str, Any] = {
+        "schema_version": 1,
+        "name": "agent-1",
+        "role": "agent",
+        "ip": "127.0.0.1",
+        "port": 7000,
+        "incarnation": 1,
+        "data_centre": "etela-a",
+        "service": "shop",
+        "weight": 1.0,
+        "state": "up",
+    }
+
+    @pytest.mark.parametrize(
+        ("field", "value"),
+        [
+            ("name", 7),
+            ("role", None),
+            ("ip", "a-host-name"),
+            ("ip", 3),
+            ("port", "7000"),
+            ("port", 70_000),
+            ("incarnation", "1"),
+            ("weight", "heavy"),
+            ("weight", -1.0),
+            ("state", []),
+        ],
+    )
+    def test_garbage_is_no_member(self, field: str, value: Any) -> None:
+        """Guards against garbage that fails later, at each new flow."""
+        table = membership.Membership()
+        table.apply_announcement(self.VALID | {field: value}, revision=1)
+        assert not table.members
+        assert table.counters["announcements_refused"] == 1
+        table.apply_announcement(self.VALID, revision=2)
+        table.apply_announcement(self.VALID | {field: value}, revision=3)
+        assert table.members["agent-1"].revision == 2
+
+
 class _ContestedStore:
     """Refuses the first creations and replacements of an entry."""
 
