Notice suspensions of an instance at daemons of the caller protocol

What callers saw: nothing yet; found by looking for what operators of a similar system reported. After a suspension of its instance, a balancer forwarded the packets in its socket by records of before, also to a data centre withdrawn meanwhile, and a status writer took its lease for held. Agents ran requests whose deadline had passed.

Cause: these daemons measured time on the monotonic clock, which stands still while an instance is suspended. A process that is only stopped was noticed.

Fix: they use the clock that runs on, as the packet daemon does for its pauses; a suspension now looks like the stop of a process, which tests cover.

A test of the record sync sets the other clock now; what it asserts is unchanged.

--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -101,13 +101,13 @@
     @property
     def load(self) -> float:
         """Share of the admission limit in use, from 0 to 1."""
-        limit = max(self.core.requests.admission.limit(clock.now_ms()), 1.0)
+        limit = max(self.core.requests.admission.limit(clock.boot_ms()), 1.0)
         return self.core.requests.running / limit
 
     @property
     def is_cold(self) -> bool:
         """Whether the cold-start ramp still limits the backend server."""
-        return self.core.requests.admission.is_cold(clock.now_ms())
+        return self.core.requests.admission.is_cold(clock.boot_ms())
 
     def start(self) -> None:
         """Starts the sockets, the admin server and the tasks."""
@@ -197,18 +197,20 @@
             "running": self.core.requests.running,
             "plain_flows": self.core.plain_flows.flows,
             "queued": self.core.requests.queued,
-            "utilisation": self.core.balance.utilisation(clock.now_ms()),
+            "utilisation": self.core.balance.utilisation(clock.boot_ms()),
             "withdrawn": self.core.withdrawn,
             "limits": self.core.limits._asdict(),
             "limit_sources": self._limit_sources,
             "cold": self.is_cold,
             "admission_limit": self.core.requests.admission.limit(
-                clock.now_ms()
+                clock.boot_ms()
             ),
             "cold_restarts": self.core.requests.admission.cold_restarts,
             "load_peers": [
                 peer.report.name
-                for peer in self.core.balance.table.usable_peers(clock.now_ms())
+                for peer in self.core.balance.table.usable_peers(
+                    clock.boot_ms()
+                )
             ],
         }
 
@@ -222,7 +224,7 @@
         while True:
             event = self._events.get()
             try:
-                self.carry_out(self.core.handle(event, now_ms=clock.now_ms()))
+                self.carry_out(self.core.handle(event, now_ms=clock.boot_ms()))
             except Exception:
                 tasks.report("core")
             if self._is_waiting and not self.core.is_idle:
--- a/sapphirelift/_balancer_node.py
+++ b/sapphirelift/_balancer_node.py
@@ -92,13 +92,13 @@
         while True:
             eventlet.sleep(PAUSE_CHECK_INTERVAL_S)
             self.current_epoch()
-            if not self.core.freshness.is_fresh(clock.now_ms()):
+            if not self.core.freshness.is_fresh(clock.boot_ms()):
                 self._send_heartbeats()
 
     def current_epoch(self) -> int:
         """Returns a number that changes after each pause of the process."""
         freshness = self.core.freshness
-        freshness.observe(clock.now_ms())
+        freshness.observe(clock.boot_ms())
         if freshness.gaps != self._epoch:
             self._epoch = freshness.gaps
             self._first_sequence_after_pause = self.heartbeats.sequence + 1
@@ -130,13 +130,13 @@
         if self.state == membership.UP:
             self.tcp_ports.update(stream_ports)
         self.plain_ports.update(datagram_ports)
-        self.core.plain.tick(set(datagram_ports), clock.now_ms())
+        self.core.plain.tick(set(datagram_ports), clock.boot_ms())
 
     def _on_plain_datagram(
         self, service: str, data: bytes, address: tuple[str, int]
     ) -> None:
         action = self.core.on_plain(
-            service, data, address, now_ms=clock.now_ms()
+            service, data, address, now_ms=clock.boot_ms()
         )
         if action is not None:
             self.peer.send(action.data, action.address)
@@ -166,7 +166,7 @@
             "counters": dict(self.core.counters),
             "withdrawn": sorted(self.core.withdrawn),
             "status": {
-                "holds_lease": self.status_writer.lease.holds(clock.now_ms()),
+                "holds_lease": self.status_writer.lease.holds(clock.boot_ms()),
                 "term": self.status_writer.lease.term,
                 "counters": dict(self.status_writer.counters),
             },
@@ -235,7 +235,7 @@
     def _on_caller_datagram(
         self, data: bytes, address: tuple[str, int]
     ) -> None:
-        now_ms = clock.now_ms()
+        now_ms = clock.boot_ms()
         packet = self.core.forward(data, address, now_ms=now_ms)
         if packet is not None:
             self.peer.send(*packet)
--- a/sapphirelift/_node.py
+++ b/sapphirelift/_node.py
@@ -261,7 +261,7 @@
 
     def _run_heartbeats(self) -> None:
         while True:
-            self.carry_out(self.members.tick(clock.now_ms()))
+            self.carry_out(self.members.tick(clock.boot_ms()))
             self._send_heartbeats()
             interval_s = self.settings.heartbeat_interval_ms / 1000
             eventlet.sleep(interval_s * self.rng.uniform(0.9, 1.1))
@@ -273,7 +273,7 @@
                 load=self.load,
                 cold=self.is_cold,
                 revision=self.replica.revision,
-                now_ms=clock.now_ms(),
+                now_ms=clock.boot_ms(),
             )
         )
 
@@ -298,7 +298,7 @@
                         sender,
                         state=self.state,
                         revision=self.replica.revision,
-                        now_ms=clock.now_ms(),
+                        now_ms=clock.boot_ms(),
                     )
                     if requested:  # empty for a replayed heartbeat
                         self.on_heartbeat(heartbeat)
@@ -309,7 +309,7 @@
                         ack,
                         sender,
                         revision=self.replica.revision,
-                        now_ms=clock.now_ms(),
+                        now_ms=clock.boot_ms(),
                     )
                     if not requested:
                         self.on_revision_confirmed(ack.sequence)
--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -137,7 +137,7 @@
                 if is_new:
                     delays.reset()
                 else:
-                    unsettled_s = (self._settles_ms - clock.now_ms()) / 1000
+                    unsettled_s = (self._settles_ms - clock.boot_ms()) / 1000
                     eventlet.sleep(max(delays.next_s(), unsettled_s))
             except errors.PlatformUnavailableError:
                 if self.replica.revision == 0:
@@ -223,13 +223,13 @@
             if not in_force:
                 self._set_unsettled()
             elif not is_same_era:
-                self._settles_ms = clock.now_ms() + revisions.REWRITE_MS
+                self._settles_ms = clock.boot_ms() + revisions.REWRITE_MS
                 self.counters["store_restores"] += 1
                 eliot.log_message(
                     "store_restored", era=era, revision_in_force=in_force
                 )
                 self._on_new_era()
-        is_settled = clock.now_ms() >= self._settles_ms
+        is_settled = clock.boot_ms() >= self._settles_ms
         return not in_force or is_same_era or is_settled
 
     def _note_era_of_neighbour(self, era: int) -> None:
@@ -292,7 +292,7 @@
         """
         if self._resync_pending:
             return
-        delay_ms = self._resyncs.reserve_ms(now_ms=clock.now_ms())
+        delay_ms = self._resyncs.reserve_ms(now_ms=clock.boot_ms())
         self._resync_pending = True
         eventlet.spawn_after(delay_ms / 1000, self._resync)
 
--- a/sapphirelift/_status_writer.py
+++ b/sapphirelift/_status_writer.py
@@ -67,14 +67,14 @@
         """Competes for the lease; never returns."""
         while True:
             eventlet.sleep(INTERVAL_S * self._rng.uniform(0.9, 1.1))
-            if self.lease.holds(clock.now_ms()) or self._is_candidate():
+            if self.lease.holds(clock.boot_ms()) or self._is_candidate():
                 self.step()
 
     def step(self) -> None:
         """Acquires or renews the lease; writes the status if it is held."""
         try:
             self._acquire_or_renew()
-            if self.lease.holds(clock.now_ms()):
+            if self.lease.holds(clock.boot_ms()):
                 self.write_status()
         except errors.ConflictError:
             self._on_lease_lost("conflict")
@@ -82,15 +82,15 @@
             self.counters["steps_failed"] += 1
 
     def _acquire_or_renew(self) -> None:
-        if self.lease.needs_read(clock.now_ms()):
+        if self.lease.needs_read(clock.boot_ms()):
             self._status_revision = None
             held = self._platform.get(LEASE_KEY)
             self.lease.on_read(
                 held,
-                now_ms=clock.now_ms(),
+                now_ms=clock.boot_ms(),
                 may_be_lost=self._platform.may_have_been_restored,
             )
-        started_ms = clock.now_ms()
+        started_ms = clock.boot_ms()
         write = self.lease.attempt(started_ms)
         if write is None:
             return
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -285,7 +285,7 @@
     ) -> None:
         """Guards against records of the copy that take a change back."""
         now_ms = [1_000_000]
-        monkeypatch.setattr(_record_sync.clock, "now_ms", lambda: now_ms[0])
+        monkeypatch.setattr(_record_sync.clock, "boot_ms", lambda: now_ms[0])
         eras: list[int] = []
         sync = new_sync(on_new_era=lambda: eras.append(1))
 
