Announce the store's era, and recover lost directory entries sooner

What callers saw: nothing yet. A balancer that started shortly after the store's return listed a directory without the agents whose entries were lost, took it for complete, and could reset their flows.

Cause: daemons told each other of a new era only by the revision of their evacuations, which changes when the era is settled, 2.5 s after the return; then each waited up to 5 s before it wrote its entry again. The directory is state of the store like any other, but had no notion of an unsettled era.

Fix: revisions and acknowledgements carry the newest era that their sender has heard of. Entries are written again within 1.5 s of it. A balancer younger than 3 s that meets a peer which still follows an earlier era fetches the peer's agents, and resets no flow for want of an owner until it has them.

Evidence: two of the new tests fail on the code before.

--- a/sapphirelift/_directory.py
+++ b/sapphirelift/_directory.py
@@ -30,9 +30,10 @@
 # handling packets before it calls the store.
 RESTARTED_AGENT_DELAY_S = 0.5
 # After the store's return all daemons write their entries again within this
-# time. 840 balancers and 7,000 agents exceed the store's rate of 400 writes a
-# second in it; those that are refused try again.
-REWRITE_WINDOW_S = 5.0
+# time; the platform wants entries back after about two seconds. 840 balancers
+# and 7,000 agents exceed the store's rate of 400 writes a second in it; those
+# that are refused try again.
+REWRITE_WINDOW_S = 1.5
 UPDATE_POLL_S = 0.1
 
 
--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -174,12 +174,15 @@
         dispatch.to_balancer(self.core, message, source, clock.now_ms())
         if isinstance(message, messages.Revisions):
             # A watch can wait in silence, in a history that has ended.
-            revision = message.evacuations_revision
-            self.store.expect_era(revisions.era_of(revision))
+            self.store.expect_era(message.store_era)
 
     # Configuration and evacuations.
 
+    def _note_era(self) -> None:
+        self.core.store_era = max(self.core.store_era, self.store.era)
+
     def _on_configuration(self, contents: _store_follower.Contents) -> None:
+        self._note_era()
         found = contents.objects.get(configuration.CONFIGURATION_NAME)
         if found is not None:
             self._apply_configuration(found.value, found.revision, STORE)
@@ -230,6 +233,7 @@
             self._refused_revision = revision
 
     def _on_evacuations(self, contents: _store_follower.Contents) -> None:
+        self._note_era()
         self.core.set_evacuations(
             routes.Evacuations(
                 contents.revision,
@@ -291,6 +295,7 @@
 
     def on_entries(self, entries: list[_directory.Entry]) -> None:
         """Adds the daemons in the directory as peers and agents."""
+        self._note_era()
         now_ms = clock.now_ms()
         for entry in entries:
             if entry.role == "balancer":
@@ -312,4 +317,4 @@
             )
             self.core.gossip(clock.now_ms())
             self.perform()
-            self._directory.on_era(self.store.era)
+            self._directory.on_era(self.core.store_era)
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -70,6 +70,7 @@
         backend: State of the backend server on the same instance.
         flows: Flow table.
         balancers: Known balancers and when each gets its next heartbeat.
+        store_era: Newest era of the store that a balancer has announced.
         counters: Event counts by name.
         samples: Latencies for histograms: of accepted openings, and from a
             request to its answer.
@@ -100,6 +101,7 @@
         )
         self.flows = flow_table.FlowTable()
         self.balancers = heartbeats.Schedule()
+        self.store_era = 0
         self.counters: collections.Counter[str] = collections.Counter()
         self.samples = samples.Samples("backend_accept", "response")
         self._report_interval_ms = report_interval_ms
@@ -787,6 +789,7 @@
         )
         for address in ack.balancers:
             self.add_balancer(address, now_ms)
+        self.store_era = max(self.store_era, ack.store_era)
         if self._configuration.is_replaced_by(
             version=ack.configuration_version,
             revision=ack.configuration_revision,
@@ -818,11 +821,6 @@
             now_ms,
         )
 
-    @property
-    def store_era(self) -> int:
-        """Newest era of the store that a balancer has announced."""
-        return revisions.era_of(self._evacuations.revision)
-
     @property
     def _is_evacuated(self) -> bool:
         return self.identity.data_centre in self._evacuations.data_centres
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -144,6 +144,7 @@
         peers: Other balancers and when each was last heard.
         is_store_connected: Whether the store answers, so that a newer
             configuration can be expected from it.
+        store_era: Newest era of the store that it has heard of.
         watch: Agents from which the balancer hears often.
         contact_ms: Time without messages after which an instance that has
             announced a stop, or has never been heard, counts as lost.
@@ -178,6 +179,7 @@
         self.is_leaving = False
         self.has_directory = False
         self.is_store_connected = True
+        self.store_era = 0
         self.peers: dict[messages.Address, int] = {}
         self._address = address
         self._replica = replica
@@ -197,6 +199,7 @@
         self._silent_resolvers: dict[messages.Address, int] = {}
         self._removed_routes: dict[routes.RouteKey, int] = {}
         self._newer_replica: _NewerReplica | None = None
+        self._has_agents_of_peer = False
         self._freshness = freshness.Freshness()
         self._resumed_boot_ms = -SETTLE_AFTER_PAUSE_MS
         self._revisions_number = 0
@@ -1040,6 +1043,7 @@
                 self.configuration.version if service is not None else 0
             ),
             is_settled=self.evacuations.is_settled,
+            store_era=self.store_era,
         )
         self._actions.append(actions.SendDaemon(heartbeat.address, ack))
 
@@ -1115,6 +1119,12 @@
         )
         if announced.is_reply and announced.number > self._resumed_number:
             self._freshness.confirm()
+        self.store_era = max(self.store_era, announced.store_era)
+        if self._remembers_lost_entries(announced, now_ms):
+            self.has_directory = False
+            self._has_agents_of_peer = True
+            self._fetch(announced.replica)
+            return
         if not self._lacks(newer):
             return
         if self._newer_replica is not None:
@@ -1147,8 +1157,28 @@
             or self._has_started_with_older(newer, now_ms)
         ):
             self._newer_replica = None
-            self.counters["replicas_fetched"] += 1
-            self._actions.append(actions.FetchReplica(newer.address))
+            self._fetch(newer.address)
+
+    def _fetch(self, replica: messages.Address) -> None:
+        self.counters["replicas_fetched"] += 1
+        self._actions.append(actions.FetchReplica(replica))
+
+    def _remembers_lost_entries(
+        self, announced: messages.Revisions, now_ms: int
+    ) -> bool:
+        """Returns whether a peer may know agents that the directory lacks.
+
+        The peer has memory of before the store's return, whereas this balancer
+        has started after it. Agents have yet to write lost entries again.
+        """
+        peer_era = revisions.era_of(announced.evacuations_revision)
+        return (
+            not self._has_agents_of_peer
+            and announced.has_directory
+            and now_ms - self._started_ms < SETTLE_MS
+            and announced.evacuations_revision > 0
+            and peer_era < self.store_era
+        )
 
     def _has_started_with_older(
         self, newer: _NewerReplica, now_ms: int
@@ -1184,6 +1214,7 @@
             number=number,
             configuration_version=self.configuration.version,
             is_settled=self.evacuations.is_settled,
+            store_era=self.store_era,
         )
         self._actions.append(actions.SendDaemon(address, message))
 
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -267,6 +267,7 @@
             an answer.
         configuration_version: Version of the service's values; 0 if unknown.
         is_settled: Whether ``is_evacuated`` is, see ``routes.Evacuations``.
+        store_era: Newest era of the store that the sender has heard of.
     """
 
     balancer: Address
@@ -282,6 +283,7 @@
     number: int = 0
     configuration_version: int = 0
     is_settled: bool = True
+    store_era: int = 0
 
 
 class Hello(NamedTuple):
@@ -313,6 +315,7 @@
         number: Number chosen by the balancer that asks; a reply repeats it.
         configuration_version: Version of its configuration; 0 if unknown.
         is_settled: Whether ``evacuated`` is, see ``routes.Evacuations``.
+        store_era: Newest era of the store that the sender has heard of.
     """
 
     balancer: Address
@@ -326,6 +329,7 @@
     number: int = 0
     configuration_version: int = 0
     is_settled: bool = True
+    store_era: int = 0
 
 
 Message = (
--- a/tests/test_l4_restored.py
+++ b/tests/test_l4_restored.py
@@ -227,6 +227,72 @@
             assert core.dump(NOW_MS)["is_evacuated"] == expected
 
 
+class TestDirectory:
+    """Entries of agents that the store has lost."""
+
+    def new_balancer(self) -> balancer.Balancer:
+        """Returns a balancer that has listed the directory of the new era."""
+        core = new_balancer()
+        core.store_era = 2
+        copied = routes.Evacuations(restored(18), is_settled=False)
+        core.set_evacuations(copied, source="store")
+        return core
+
+    # Guards against resets of flows whose agent is missing in the directory.
+    def test_new_balancer_asks_a_peer_with_memory(self) -> None:
+        """Without the peer's agents, no search proves that a flow has ended."""
+        core = self.new_balancer()
+        core.on_message(revisions_of_peer(evacuations=IN_FORCE), NOW_MS)
+        assert actions.FetchReplica(REPLICA) in core.drain_actions()
+        assert not core.has_directory
+        # As after the fetch.
+        core.has_directory = True
+        core.on_message(revisions_of_peer(evacuations=IN_FORCE), NOW_MS)
+        assert actions.FetchReplica(REPLICA) not in core.drain_actions()
+        assert core.has_directory
+
+    @pytest.mark.parametrize(
+        ("age_ms", "known"),
+        [
+            (balancer.SETTLE_MS, IN_FORCE),
+            (0, routes.Evacuations()),
+            (0, routes.Evacuations(restored(19), A)),
+        ],
+    )
+    def test_directory_is_believed_otherwise(
+        self, age_ms: int, known: routes.Evacuations
+    ) -> None:
+        """Guards against flows that never end, and needless fetches."""
+        core = self.new_balancer()
+        core.on_message(revisions_of_peer(evacuations=known), NOW_MS + age_ms)
+        assert actions.FetchReplica(REPLICA) not in core.drain_actions()
+        assert core.has_directory
+
+    # Guards against entries that stay lost until the evacuations are settled.
+    def test_era_is_announced_at_once(self) -> None:
+        """Agents and peers hear of the new era before they follow it."""
+        core = new_balancer()
+        core.set_evacuations(IN_FORCE, source="store")
+        core.store_era = 2
+        copied = routes.Evacuations(restored(18), is_settled=False)
+        core.set_evacuations(copied, source="store")
+        core.on_message(revisions_of_peer()._replace(is_reply=False), NOW_MS)
+        answer = next(
+            action.message
+            for action in core.drain_actions()
+            if isinstance(action, actions.SendDaemon)
+            and isinstance(action.message, messages.Revisions)
+            and action.message.is_reply
+        )
+        assert answer.store_era == 2
+        assert answer.evacuations_revision == IN_FORCE.revision
+        beside = new_agent()
+        beside.on_ack(
+            ack(evacuations_revision=20)._replace(store_era=2), NOW_MS
+        )
+        assert beside.store_era == 2
+
+
 class _EraStore:
     """Store whose era the test sets.
 
