Keep live members in service whose announcement the store has lost

What callers saw (caller protocol): after the store's return from an older copy, agents that had started since the copy got no new flows for up to 1.4 s, and the others took their load. Established flows went on.

Cause: 2.5 s after the return, when the era counts as settled, balancers take its list for complete, and an announcement that it lacks for deleted. Agents hear of the era at that moment only, and spread their new announcements over a second or more. The announcement is state of the store; that a member lives is known from its heartbeats.

Fix: a member in service whose announcement is missing since a new era stays, known from heartbeats only, until it has announced itself again or is silent. Members that another process watches are forgotten after 10 s. One that drains, is suspected, or whose announcement is deleted within an era goes as before.

Evidence: with the deletion handled as before, the new tests fail (member not kept, at the watching and at another balancer).

--- a/sapphirelift/_node.py
+++ b/sapphirelift/_node.py
@@ -226,7 +226,9 @@
             self.announcer.on_change(change, affected=self._lost_members)
         if change.value is None:
             name = change.key.rsplit("/", 1)[1]
-            self.members.remove(name, revision=change.revision)
+            self.members.on_deleted(
+                name, revision=change.revision, now_ms=clock.boot_ms()
+            )
         else:
             self.members.apply_announcement(
                 change.value, revision=change.revision, key=change.key
--- a/sapphirelift/core/membership/membership.py
+++ b/sapphirelift/core/membership/membership.py
@@ -13,6 +13,7 @@
 
 from sapphirelift import messages
 from sapphirelift.core import actions
+from sapphirelift.core import revisions
 
 SUSPECT_AFTER_MS = 2500
 MARK_AFTER_MS = 10_000
@@ -47,6 +48,17 @@
     return max(left, right, key=lambda state: _RANKS.get(state, 0))
 
 
+def _is_of_earlier_era(older: int, newer: int) -> bool:
+    """Returns whether the first of two revisions is of an earlier era.
+
+    >>> _is_of_earlier_era(20, revisions.of_store(7, era=2))
+    True
+    >>> _is_of_earlier_era(0, revisions.of_store(7, era=2))  # no revision
+    False
+    """
+    return older > 0 and revisions.era_of(older) < revisions.era_of(newer)
+
+
 class Announcement(msgspec.Struct):
     """Contents of the object by which a process announces itself.
 
@@ -266,6 +278,35 @@
         if existing is not None and existing.revision < revision:
             self._forget(existing)
 
+    def on_deleted(self, name: str, *, revision: int, now_ms: int) -> None:
+        """Handles an announcement that the platform no longer has.
+
+        The store may have lost it in its return from an older copy. A member
+        in service then stays, known from heartbeats only, until it has
+        announced itself again or is silent.
+
+        Args:
+            name: Name of the member.
+            revision: Revision at which the announcement is missing.
+            now_ms: Current time.
+        """
+        existing = self.members.get(name)
+        if (
+            existing is None
+            or not existing.is_alive
+            or existing.state != UP
+            or not _is_of_earlier_era(existing.revision, revision)
+        ):
+            self.remove(name, revision=revision)
+            return
+        existing.key, existing.revision = "", 0
+        existing.announcement = None
+        if existing.last_heard_ms is None:
+            existing.last_heard_ms = now_ms
+            existing.is_confirmed = False
+            self._monitored[name] = existing
+        self.counters["announcements_lost"] += 1
+
     def _forget(self, member: Member) -> None:
         del self.members[member.name]
         self._monitored.pop(member.name, None)
@@ -500,6 +541,10 @@
             if now_ms - member.last_heard_ms <= limit_ms:
                 continue
             if not member.suspected and not self.watches(member.name):
+                if not member.key:
+                    # No deletion of an announcement would remove it.
+                    self._forget(member)
+                    continue
                 member.last_heard_ms = None
                 del self._monitored[member.name]
                 continue
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,6 +9,7 @@
 from sapphirelift import wire
 from sapphirelift.core import actions
 from sapphirelift.core import keys
+from sapphirelift.core import revisions
 from sapphirelift.core.membership import freshness
 from sapphirelift.core.membership import heartbeats
 from sapphirelift.core.membership import membership
@@ -91,6 +92,58 @@
     return seen
 
 
+class TestStoreRestored:
+    """Announcements that the store has lost in its return from a copy."""
+
+    # Guards against live members that are out of service until they have
+    # announced themselves again.
+    @pytest.mark.parametrize(
+        ("state", "silent_ms", "revision", "is_kept"),
+        [
+            ("up", 0, revisions.of_store(1, era=2), True),
+            ("draining", 0, revisions.of_store(1, era=2), False),
+            ("up", 3000, revisions.of_store(1, era=2), False),
+            ("up", 0, 5, False),
+        ],
+    )
+    def test_member_in_service_outlives_its_announcement(
+        self, state: str, silent_ms: int, revision: int, is_kept: bool
+    ) -> None:
+        """Only a member that lives and is in service is kept."""
+        table = watcher()
+        for number in range(4):
+            heard_ms = 10_000 - silent_ms if not number else 10_000
+            found = beat(number, 2, state=state if not number else "up")
+            table.apply_heartbeat(found, now_ms=heard_ms)
+        table.tick(10_000)
+        table.on_deleted("m0", revision=revision, now_ms=10_000)
+        assert ("m0" in table.members) == is_kept
+        in_service = {m.name for m in table.with_role("agent")}
+        assert ("m0" in in_service) == is_kept
+
+    def test_kept_member_is_announced_again_or_forgotten(self) -> None:
+        """Guards against members without an announcement that stay for good."""
+        table = watcher()
+        restored = revisions.of_store(1, era=2)
+        for number in (0, 1):
+            table.on_deleted(f"m{number}", revision=restored, now_ms=0)
+        announce(table, 1, revision=restored + 1)
+        run_until(table, 2 * membership.DELETE_AFTER_MS, silent={0})
+        assert sorted(table.members) == ["m1", "m2", "m3"]
+
+    def test_member_that_another_process_watches(self) -> None:
+        """Guards against unwatched members that are lost at once, or stay."""
+        table = membership.Membership(repairs=True, watches=lambda _: False)
+        announce(table, 0, revision=1)
+        restored = revisions.of_store(1, era=2)
+        table.on_deleted("m0", revision=restored, now_ms=0)
+        for now_ms in range(500, membership.MARK_AFTER_MS, 500):
+            table.tick(now_ms)
+            assert table.with_role("agent")
+        table.tick(membership.MARK_AFTER_MS + 500)
+        assert not table.members
+
+
 class TestFailureDetection:
     """Suspicion, marking and deletion of silent members."""
 
