Let garbled member objects raise no errors at agents and announcers

Since garbled announcements are refused, one no longer counts as a task failure at balancers, which the test asserted.

Cause: the test's expectation was of before. Looking at it showed that the same object still raised at each agent, which read its fields before the check. An announcer whose own object has a garbled incarnation failed at each try, so that the daemon was never announced again (by reading).

Fix: both read such fields with a check. The test now asserts that the object is counted as refused and causes no task failure at the balancer nor at an agent, which fails on the code before. That an unexpected error in one change blocks no other one has a test of its own.

--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -145,10 +145,11 @@
         value = change.value
         if (
             value is not None
-            and value["role"] == self.settings.role
-            and value["service"] != self.service
+            and value.get("role") == self.settings.role
+            and value.get("service") != self.service
         ):
-            self.members.remove(value["name"], revision=change.revision)
+            name = change.key.rsplit("/", 1)[1]
+            self.members.remove(name, revision=change.revision)
             return
         super()._apply_member(change)
 
--- a/sapphirelift/_announcer.py
+++ b/sapphirelift/_announcer.py
@@ -33,6 +33,18 @@
     return max(MIN_REANNOUNCEMENT_WINDOW_S, affected / REANNOUNCEMENTS_PER_S)
 
 
+def _is_newer(stored: dict[str, Any], own: dict[str, Any]) -> bool:
+    """Returns whether a stored announcement is of a later incarnation.
+
+    >>> _is_newer({"incarnation": 8}, {"incarnation": 7})
+    True
+    >>> _is_newer({"incarnation": "8"}, {"incarnation": 7})  # garbled
+    False
+    """
+    incarnation = stored.get("incarnation")
+    return isinstance(incarnation, int) and incarnation > own["incarnation"]
+
+
 class Announcer:
     """Writes the announcement of a daemon and retries until it is stored.
 
@@ -75,8 +87,7 @@
         """
         value = self._announcement()
         stored = change.value or {}
-        is_newer = stored.get("incarnation", 0) > value["incarnation"]
-        if stored != value and not is_newer:
+        if stored != value and not _is_newer(stored, value):
             self.announce_again(affected=affected)
 
     def announce_again(self, *, affected: int) -> None:
@@ -119,7 +130,7 @@
         value = self._announcement()
         current = self._platform.get(self._key)
         stored = (current.value or {}) if current is not None else {}
-        if stored.get("incarnation", 0) > value["incarnation"]:
+        if _is_newer(stored, value):
             self.counters["announcements_superseded"] += 1
             eliot.log_message("announcement_superseded", key=self._key)
             return False
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -1,9 +1,12 @@
 """Handling of uncaught errors in the tasks of a daemon."""
 
 import eventlet
+import pytest
 
+from sapphirelift import _node
 from sapphirelift import messages
 from sapphirelift import tasks
+from sapphirelift.core.records import replica
 from sapphirelift.peers import endpoint
 from sapphirelift.platform import client as platform_client
 from tests import processes
@@ -44,6 +47,32 @@
         assert seen == [b"bad!", b"good"]
 
 
+class TestChanges:
+    """Changes of the platform's objects that a daemon applies together."""
+
+    def test_error_blocks_no_other_change(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an unexpected error that stops other changes."""
+        applied = []
+
+        def apply(change: replica.StoredObject) -> None:
+            if change.key == "odd":
+                raise KeyError("planned")
+            applied.append(change.key)
+
+        node = _node.Node.__new__(_node.Node)
+        monkeypatch.setattr(node, "_apply_change", apply, raising=False)
+        monkeypatch.setattr(node, "records", None, raising=False)
+        monkeypatch.setattr(node, "on_records", applied.append, raising=False)
+        before = tasks.failures["apply_change"]
+        node.apply_changes(
+            replica.StoredObject(key, 1, {}) for key in ("a", "odd", "b")
+        )
+        assert applied == ["a", "b", None]
+        assert tasks.failures["apply_change"] == before + 1
+
+
 class TestDaemon:
     """Objects in the platform's store that no release writes."""
 
@@ -73,7 +102,15 @@
             timeout_s=7,
         )
         dump = fleet.dump("balancer-1")
-        assert dump["task_failures"] == {"apply_change": 1}
+        assert dump["membership"]["announcements_refused"] == 1
+        for name in ("balancer-1", "agent-0", "agent-1", "agent-2"):
+            processes.wait_until(
+                lambda name=name: (
+                    "records/service/odd" in fleet.dump(name)["refused_records"]
+                ),
+                timeout_s=7,
+            )
+            assert fleet.dump(name)["task_failures"] == {}
         assert "records/service/odd" in dump["refused_records"]
         # A member that was never heard is suspected only after 10 s.
         fleet.kill("agent-0")
