Keep records that the store has lost, and write them again

What callers saw (caller protocol): a data centre that operators had withdrawn shortly before the store returned from an older copy got requests again 2.5 s after the return, for good. The same holds for a withdrawn key.

Cause: the platform writes again what operators wrote through its own API. The records are objects of this system there, and what the system wrote is gone. Daemons kept their newer states for 2.5 s only, on the assumption that somebody would write them again, and then took the copy, since nothing told an earlier state at a newer revision from a new one.

Fix: a record carries the ids of the writes that it has replaced. A state whose id is among them is older, in every era. Records that are missing since the return are lost unless the store held them when the era was first seen. Lost records stay in force, and balancers write them again under the condition that the store still holds an earlier state.

The first unit test fails without the check of ids.

--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -37,6 +37,8 @@
 MAX_DELAY_S = 3.0
 # 7,000 agents that resynchronise at once make 233 reads/s.
 RESYNC_INTERVAL_S = 30.0
+# Several times as long as a write needs to reach the other balancers.
+LOST_RECORDS_WINDOW_S = 3.0
 
 OnChanges = Callable[[list[replica.StoredObject]], None]
 
@@ -96,6 +98,9 @@
         self._on_new_era = on_new_era
         self._era: int | None = None
         self._settles_ms = 0
+        # Objects that the store held in its era before that was settled.
+        self._held_unsettled: set[str] = set()
+        self._is_writing_lost_records = False
         self._rng = rng
         self._fetching: set[messages.Address] = set()
         self._consecutive_older_reads = 0
@@ -183,6 +188,7 @@
             False if the next read must wait for the backoff delay.
         """
         if not self._is_usable(listing.revision):
+            self._held_unsettled |= {item.key for item in listing.objects}
             return False
         lowest_revision = self.replica.revision
         if since is not None and not listing.complete:
@@ -205,6 +211,8 @@
             changes = self.replica.apply_watched(listing.objects)
         if changes:
             self._on_changes(changes)
+        if self.replica.lost and self._settings.role == "balancer":
+            self._start_writing_lost_records()
         return not listing.complete or self.replica.revision > before
 
     def _is_usable(self, revision: int) -> bool:
@@ -220,6 +228,7 @@
         is_same_era = era <= revisions.era_of(in_force)
         if self._era is None or era > self._era:
             self._era = era
+            self._held_unsettled = set()
             if not in_force:
                 self._set_unsettled()
             elif not is_same_era:
@@ -259,6 +268,9 @@
         if self.platform_reverted:
             return []
         missing = self.replica.missing_from(listing.objects, "records/")
+        lost = [i for i in missing if self._is_lost(i, listing.revision)]
+        self.replica.lost.update(item.key for item in lost)
+        missing = [item for item in missing if item not in lost]
         members = self.replica.missing_from(listing.objects, "members/")
         kept = []
         if len(members) > MAX_MEMBER_READS:
@@ -267,7 +279,53 @@
             missing += members
         found = [i for m in missing if (i := self.platform.get(m.key))]
         self.counters["lagging_lists"] += bool(found)
-        return found + kept
+        return found + kept + lost
+
+    def _is_lost(self, missing: replica.StoredObject, revision: int) -> bool:
+        """Returns whether the store has lost a record in its return.
+
+        If it held the record in the present era, the record is deleted. Later
+        lists of the era show deletions only.
+        """
+        in_force_era = revisions.era_of(self.replica.revision)
+        return (
+            in_force_era < revisions.era_of(revision)
+            and missing.key not in self._held_unsettled
+        )
+
+    def _start_writing_lost_records(self) -> None:
+        if not self._is_writing_lost_records:
+            self._is_writing_lost_records = True
+            eventlet.spawn(self._write_lost_records)
+
+    def _write_lost_records(self) -> None:
+        """Writes lost records again, at a time that differs per balancer.
+
+        The write of the first balancer reaches the others by their watches.
+        """
+        try:
+            while self.replica.lost:
+                eventlet.sleep(self._rng.uniform(0, LOST_RECORDS_WINDOW_S))
+                for key in sorted(self.replica.lost):
+                    self._write_lost_record(key)
+        except Exception:
+            tasks.report("lost_records")
+        finally:
+            self._is_writing_lost_records = False
+
+    def _write_lost_record(self, key: str) -> None:
+        item = self.replica.find(key)
+        try:
+            if item is not None:
+                self.platform.restore(item)
+        except (errors.ConflictError, errors.PlatformUnavailableError) as error:
+            self.counters["lost_records_not_written"] += 1
+            eliot.log_message(
+                "lost_record_not_written", key=key, reason=str(error)
+            )
+        else:
+            self.counters["lost_records_written"] += 1
+            eliot.log_message("lost_record_written", key=key)
 
     def _refuse_older(self, revision: int) -> None:
         self.counters["older_answers_refused"] += 1
--- a/sapphirelift/core/records/replica.py
+++ b/sapphirelift/core/records/replica.py
@@ -17,11 +17,24 @@
         key: Path of the object, for example ``records/service/catalogue``.
         revision: Revision of the store at the object's last change.
         value: Contents of the object, or None for a tombstone.
+        write_id: Id of the write that stored this state; empty if unknown.
+        replaced: Ids of the writes of earlier states, newest first. A state
+            whose id is among them is older, whatever its revision.
     """
 
     key: str
     revision: int
     value: dict[str, Any] | None
+    write_id: str = ""
+    replaced: tuple[str, ...] = ()
+
+    def has_replaced(self, write_id: str) -> bool:
+        """Returns whether this is a later state than that of another write.
+
+        >>> StoredObject("key", 9, {}, "b", ("a",)).has_replaced("a")
+        True
+        """
+        return bool(write_id) and write_id in self.replaced
 
 
 class Difference(NamedTuple):
@@ -122,6 +135,8 @@
     Attributes:
         is_settled: Whether other writers had time to write again what the
             store may have lost at the beginning of its era.
+        lost: Keys of which the store has lost the newest state, which stays
+            in force here.
     """
 
     def __init__(self, *, max_tombstones: int = MAX_TOMBSTONES) -> None:
@@ -129,6 +144,7 @@
         self._unconfirmed: _UnconfirmedList | None = None
         self._max_tombstones = max_tombstones
         self.is_settled = True
+        self.lost: set[str] = set()
 
     @property
     def revision(self) -> int:
@@ -242,6 +258,10 @@
             current = groups.get(name, _EMPTY_GROUP).get(change.key)
             if current is not None and current.revision >= change.revision:
                 continue
+            if current is not None and current.has_replaced(change.write_id):
+                self.lost.add(change.key)
+                continue
+            self.lost.discard(change.key)
             if name not in copied:
                 copied.add(name)
                 groups[name] = dict(groups.get(name, _EMPTY_GROUP))
@@ -256,9 +276,13 @@
         self._state = state
         return applied
 
+    def find(self, key: str) -> StoredObject | None:
+        """Returns an object, which may be a tombstone, or None."""
+        return self._state.get(key)
+
     def get(self, key: str) -> StoredObject | None:
         """Returns a live object, or None."""
-        item = self._state.get(key)
+        item = self.find(key)
         return item if item is not None and item.value is not None else None
 
     def items(self, prefix: str) -> Iterator[StoredObject]:
--- a/sapphirelift/operators/record_store.py
+++ b/sapphirelift/operators/record_store.py
@@ -104,11 +104,11 @@
         if locked_error is not None:
             raise locked_error
         key = records.key_of(record.kind, record.name)
+        stored = self._platform.get(key)
         if expected_revision is None:
-            stored = self._platform.get(key)
             expected_revision = stored.revision if stored is not None else 0
         revision = self._platform.put(
-            key, value, expected_revision=expected_revision
+            key, value, expected_revision=expected_revision, replaces=stored
         )
         loaded.apply(replica.StoredObject(key, revision, value))
         return Written(key, revision, _overruled(loaded))
--- a/sapphirelift/platform/client.py
+++ b/sapphirelift/platform/client.py
@@ -4,7 +4,9 @@
 watch are of one kind in the store, so that a single watch covers them. The
 others are of a second kind, so that their writes do not wake the watches. Each
 value carries the id of the write that stored it; if the answer to a write is
-lost, the client reads the object back and looks for this id.
+lost, the client reads the object back and looks for this id. Records carry the
+ids of earlier writes too, so that a state which the store has returned to can
+be told from a new one.
 """
 
 import collections
@@ -27,6 +29,9 @@
 CALLS_PER_S = store_module.CALLS_PER_S
 BURST_CALLS = store_module.BURST_CALLS
 MAX_READ_BACK_ATTEMPTS = 3
+# Changes of one object between a copy of the store, which is some seconds old,
+# and the store's return from it.
+MAX_REPLACED = 16
 
 WATCHED_KIND = "sapphirelift-records"
 UNWATCHED_KIND = "sapphirelift-state"
@@ -142,7 +147,7 @@
             if change.is_deleted:
                 # The object has the revision of its last write, which is older
                 # than the deletion.
-                item = replica.StoredObject(item.key, found.revision, None)
+                item = item._replace(revision=found.revision, value=None)
             elif _has_deletion_mark(change.object):
                 continue
             if item.key.startswith(prefixes):
@@ -155,6 +160,7 @@
         value: dict[str, Any],
         *,
         expected_revision: int | None = None,
+        replaces: replica.StoredObject | None = None,
     ) -> int:
         """Writes an object and returns its revision.
 
@@ -163,13 +169,41 @@
             value: The value to store.
             expected_revision: Revision that the object must have; 0 if it
                 must not exist, None for any.
+            replaces: State of the object that was read before.
 
         Raises:
             ConflictError: The object has another revision.
             WriteUnknownError: The answer was lost and the object does not
                 show whether the write took effect.
         """
-        return self._write(key, {"value": value}, expected_revision)
+        body = {"value": value} | _history(replaces)
+        return self._write(key, body, expected_revision)
+
+    def restore(self, item: replica.StoredObject) -> None:
+        """Writes a state again that the store has lost in its return.
+
+        Does nothing if the store holds another state than earlier ones.
+
+        Raises:
+            ConflictError: Another writer has changed the object meanwhile.
+            PlatformUnavailableError: There was no usable answer.
+        """
+        kind, name = _kind_and_name(item.key)
+        current = self.store.get(kind, name)
+        if current is not None and not item.has_replaced(_write_id(current)):
+            return
+        body = {
+            "value": item.value,
+            "write_id": item.write_id,
+            "replaced": item.replaced,
+        }
+        if current is None:
+            if item.value is not None:
+                self.store.create(kind, name, body)
+        elif item.value is None:
+            self.store.delete(kind, name, revision=current.revision)
+        else:
+            self.store.replace(kind, name, body, revision=current.revision)
 
     def _write(
         self, key: str, body: dict[str, Any], expected_revision: int | None
@@ -227,7 +261,7 @@
             raise errors.ConflictError(key, current.revision if current else 0)
         marked_revision = self._write(
             key,
-            {"value": current.value, _DELETION_MARK: True},
+            {"value": current.value, _DELETION_MARK: True} | _history(current),
             expected_revision,
         )
         try:
@@ -321,7 +355,9 @@
         # the last valid one in force.
         value = {}
     key = item.name.replace(_SEPARATOR, "/")
-    return replica.StoredObject(key, item.revision, value)
+    return replica.StoredObject(
+        key, item.revision, value, _write_id(item), _replaced(item)
+    )
 
 
 def _has_deletion_mark(item: store_module.Object) -> bool:
@@ -331,3 +367,21 @@
 def _write_id(item: store_module.Object) -> str:
     value = item.value if isinstance(item.value, dict) else {}
     return str(value.get("write_id", ""))
+
+
+def _replaced(item: store_module.Object) -> tuple[str, ...]:
+    value = item.value if isinstance(item.value, dict) else {}
+    found = value.get("replaced")
+    return tuple(map(str, found)) if isinstance(found, list) else ()
+
+
+def _history(replaces: replica.StoredObject | None) -> dict[str, Any]:
+    """Returns the ids of earlier writes, as part of the stored value.
+
+    >>> _history(replica.StoredObject("key", 9, {}, "b", ("a",)))
+    {'replaced': ['b', 'a']}
+    """
+    if replaces is None or not replaces.write_id:
+        return {}
+    ids = [replaces.write_id, *replaces.replaced]
+    return {"replaced": ids[:MAX_REPLACED]}
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -21,6 +21,7 @@
 from sapphirelift.core import revisions
 from sapphirelift.core.records import replica
 from sapphirelift.core.requests import outcomes
+from sapphirelift.operators import record_store
 from sapphirelift.peers import records
 from sapphirelift.platform import client
 from tests import processes
@@ -227,6 +228,56 @@
             for name in fleet.public:
                 assert fleet.dump(name)["withdrawn"] == ["etela-b", "etela-c"]
 
+    def test_records_that_nobody_writes_again(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against changes that the store takes back for good.
+
+        One record has been changed since the copy, one created, one deleted;
+        the store returns twice.
+        """
+        start(fleet)
+        operators = record_store.RecordStore(
+            client.ObjectClient(fleet.platform_url, calls_per_s=100)
+        )
+        for number in (1, 2, 3):
+            change = {"withdrawn": number == 3}
+            operators.update("data_centre", f"etela-{number}", change)
+        processes.post_json(fleet.platform_port, "/copy", {})
+        for number in (1, 4):
+            change = {"withdrawn": True}
+            revision = operators.update(
+                "data_centre", f"etela-{number}", change
+            ).revision
+        operators.delete("data_centre", "etela-3")
+        in_force = ["etela-1", "etela-4"]
+
+        def is_in_force(*names: str) -> bool:
+            return all(fleet.dump(n)["withdrawn"] == in_force for n in names)
+
+        wait_in_force(fleet, revision)
+        processes.wait_until(lambda: is_in_force(*fleet.public))
+        for _ in range(2):
+            processes.post_json(fleet.platform_port, "/restore", {})
+            end_s = time.monotonic() + 2 * PROPAGATION_BOUND_S
+            while time.monotonic() < end_s:
+                assert is_in_force(*fleet.public)
+                time.sleep(0.1)
+            stored = {
+                o.key: o.value for o in operators.list_kind("data_centre")
+            }
+            assert sorted(stored) == [
+                f"records/data_centre/etela-{number}" for number in (1, 2, 4)
+            ]
+        # Also for a daemon without memory, and a change is not refused.
+        fleet.start_balancer("balancer-9")
+        processes.wait_until(lambda: is_in_force("balancer-9"))
+        operators.update("data_centre", "etela-1", {"withdrawn": False})
+        in_force.remove("etela-1")
+        processes.wait_until(
+            lambda: is_in_force(*fleet.public), timeout_s=PROPAGATION_BOUND_S
+        )
+
     def test_members_announce_themselves_again(
         self, fleet: processes.Fleet
     ) -> None:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from sapphirelift.core.records import replica
 
 KEY = "records/service/catalogue"
@@ -123,3 +125,46 @@
                 live = local.get(KEY)
                 assert live is None or live.revision == highest
             assert local.get(KEY) == changes[-1]
+
+
+class TestLostStates:
+    """States that the store has lost in its return from an older copy."""
+
+    def state(self, revision: int, write_id: str) -> replica.StoredObject:
+        """Returns the state that the write ``a``, ``b`` or ``c`` stored."""
+        before = "abc"[: "abc".find(write_id)][::-1]
+        value = {"write": write_id}
+        return replica.StoredObject(
+            KEY, revision, value, write_id, tuple(before)
+        )
+
+    def test_replaced_state_at_a_newer_revision_is_older(self) -> None:
+        """Guards against a change that is taken back with the store's copy."""
+        local = replica.Replica()
+        local.apply([self.state(9, "b")], revision=9)
+        newer = local.apply([self.state(20, "a")], revision=20)
+        assert newer == []
+        assert local.get(KEY) == self.state(9, "b")
+        assert local.lost == {KEY}
+
+    @pytest.mark.parametrize("write_id", ["b", "c", "other"])
+    def test_other_states_follow_their_revisions(self, write_id: str) -> None:
+        """Guards against new changes that are refused as lost ones."""
+        local = replica.Replica()
+        local.apply([self.state(9, "b")], revision=9)
+        local.apply([self.state(20, "a")], revision=20)
+        found = self.state(21, "b")
+        if write_id != "b":
+            found = found._replace(write_id=write_id)
+        local.apply([found], revision=21)
+        assert local.get(KEY) == found
+        assert local.lost == set()
+
+    def test_deleted_state_does_not_come_back(self) -> None:
+        """Guards against a deletion that is taken back with the copy."""
+        local = replica.Replica()
+        deleted = self.state(9, "b")._replace(value=None)
+        local.apply([deleted], revision=9)
+        local.apply([self.state(20, "a")], revision=20)
+        assert local.get(KEY) is None
+        assert local.lost == {KEY}
