Let an idle cold agent run a request, which begins its ramp

What callers saw (caller protocol): an agent that had returned to service, or whose backend server had failed, got no work for seconds: it transferred each request of its flows to its peers. Known as a test that failed now and then (test_records_in_force.py::TestDrain, "assert 36 > 36").

Cause: the ramp of a cold agent begins with the first answer, but requests are placed by the utilisation relative to the limit, which is a tenth of a slot then, and the utilisation of before the restart decays with a time constant of 3 s. Two traced failures beside load: admission limit 0.4, utilisation 0.004 and 0.005, 33 and 31 of 33 requests transferred, none run, still cold at the end.

Fix: while the ramp waits for an answer and nothing is running or queued, the request stays.

Evidence: the new test fails on the code before (three of three transferred).

--- a/sapphirelift/core/flows/balance.py
+++ b/sapphirelift/core/flows/balance.py
@@ -160,6 +160,11 @@
         own = self._local_load(now_ms)
         if own.state != membership.UP or not self._outgoing.may_send(state):
             return False
+        if self._local.admission.awaits_answer and not own.busy + own.queued:
+            # Only an answer begins the ramp. Measured against the low limit,
+            # the utilisation of before the restart would leave the agent
+            # without requests for many seconds.
+            return False
         peer = self.table.place_request(own, now_ms)
         if peer is None:
             return False
--- a/sapphirelift/core/requests/admission.py
+++ b/sapphirelift/core/requests/admission.py
@@ -68,6 +68,12 @@
         """Tells whether the ramp still reduces the limit."""
         return self._ramp_share(now_ms) < 1.0
 
+    @property
+    def awaits_answer(self) -> bool:
+        """Whether the ramp begins with the next answer."""
+        has_started = self._ramp_started_ms is not None
+        return self._ramping and self._ramp_ms > 0 and not has_started
+
     def limit(self, now_ms: int) -> float:
         """Returns the current concurrency limit.
 
--- a/tests/test_transferred_runs.py
+++ b/tests/test_transferred_runs.py
@@ -436,3 +436,20 @@
         pair.run()
         assert pair.runs[1] == 0
         assert pair.counter(PEER, "runs_notrun") == 1
+
+
+class TestColdOwner:
+    """Requests of an agent whose backend server has just started."""
+
+    def test_idle_agent_runs_a_request_until_one_is_answered(self) -> None:
+        """Guards against an agent that stays cold as it transfers all."""
+        pair = Pair(rng=random.Random(1))
+        ramp = pair.cores[OWNER].limits._replace(ramp_ms=500, initial_share=0.1)
+        pair.handle(OWNER, agent.NewLimits(ramp))
+        # A second request, sent while the first one runs, is transferred.
+        for number, sent_ms in ((1, 100), (2, 100), (3, 2000)):
+            pair.at(sent_ms, pair.request, number)
+        pair.run()
+        assert set(pair.results) == {1, 2, 3}
+        assert pair.counter(OWNER, "requests_transferred") == 2
+        assert not pair.cores[OWNER].requests.admission.is_cold(pair.now_ms)
