Keep the history of deleted records, and end the search for lost ones

A deleted record that came back with the store's copy was deleted again, but the daemons took that deletion for one more earlier state: balancers went on looking for it in the store every 1.5 s.

Cause: the deletion of an earlier state carries that state's id.

Fix: a deletion is always a new change, and a tombstone keeps the ids of all states before it, so that the record does not come back at a second return either. `lost_records` of the dump names what is being written again.

Evidence: the test with processes now waits until nothing is lost, after each of two returns, and the unit test covers deletions as watches and lists show them.

--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -123,6 +123,7 @@
             "platform_failures": dict(self.platform.failures),
             "platform_reverted": self.platform_reverted,
             "watch_silent": self.watch_silent,
+            "lost_records": sorted(self.replica.lost),
             "record_counters": dict(self.counters),
         }
 
@@ -269,8 +270,8 @@
             return []
         missing = self.replica.missing_from(listing.objects, "records/")
         lost = [i for i in missing if self._is_lost(i, listing.revision)]
+        missing = [i for i in missing if not self._is_lost(i, listing.revision)]
         self.replica.lost.update(item.key for item in lost)
-        missing = [item for item in missing if item not in lost]
         members = self.replica.missing_from(listing.objects, "members/")
         kept = []
         if len(members) > MAX_MEMBER_READS:
--- a/sapphirelift/core/records/replica.py
+++ b/sapphirelift/core/records/replica.py
@@ -8,6 +8,9 @@
 
 # Several times the number of instances replaced in a day (1,200).
 MAX_TOMBSTONES = 10_000
+# Changes of one object between a copy of the store, which is some seconds old,
+# and the store's return from it.
+MAX_REPLACED = 16
 
 
 class StoredObject(NamedTuple):
@@ -28,13 +31,32 @@
     write_id: str = ""
     replaced: tuple[str, ...] = ()
 
-    def has_replaced(self, write_id: str) -> bool:
-        """Returns whether this is a later state than that of another write.
+    def is_later_than(self, other: "StoredObject") -> bool:
+        """Returns whether the other state is known to be an earlier one.
 
-        >>> StoredObject("key", 9, {}, "b", ("a",)).has_replaced("a")
+        The deletion of an earlier state is a new change.
+
+        >>> state = StoredObject("key", 9, {}, "b", ("a",))
+        >>> state.is_later_than(StoredObject("key", 20, {}, "a"))
         True
+        >>> state.is_later_than(StoredObject("key", 20, None, "a"))
+        False
         """
-        return bool(write_id) and write_id in self.replaced
+        is_live = other.value is not None
+        return (
+            is_live
+            and bool(other.write_id)
+            and (other.write_id in self.replaced)
+        )
+
+    def history(self) -> tuple[str, ...]:
+        """Returns the ids of the writes up to this state, newest first.
+
+        >>> StoredObject("key", 9, {}, "c", ("b", "a")).history()
+        ('c', 'b', 'a')
+        """
+        own = (self.write_id,) if self.write_id else ()
+        return (*own, *self.replaced)[:MAX_REPLACED]
 
 
 class Difference(NamedTuple):
@@ -114,6 +136,17 @@
     )
 
 
+def _with_history(
+    change: StoredObject, current: StoredObject | None
+) -> StoredObject:
+    """Returns a change; a deletion gets the ids of all states before it."""
+    if change.value is not None:
+        return change
+    before = current.history() if current is not None else ()
+    ids = dict.fromkeys((*change.history(), *before))
+    return change._replace(write_id="", replaced=tuple(ids)[:MAX_REPLACED])
+
+
 class _UnconfirmedList(NamedTuple):
     """Contents of a full list that a second list must confirm.
 
@@ -258,14 +291,14 @@
             current = groups.get(name, _EMPTY_GROUP).get(change.key)
             if current is not None and current.revision >= change.revision:
                 continue
-            if current is not None and current.has_replaced(change.write_id):
+            if current is not None and current.is_later_than(change):
                 self.lost.add(change.key)
                 continue
             self.lost.discard(change.key)
             if name not in copied:
                 copied.add(name)
                 groups[name] = dict(groups.get(name, _EMPTY_GROUP))
-            groups[name][change.key] = change
+            groups[name][change.key] = _with_history(change, current)
             was_tombstone = current is not None and current.value is None
             tombstones += (change.value is None) - was_tombstone
             applied.append(change)
--- a/sapphirelift/platform/client.py
+++ b/sapphirelift/platform/client.py
@@ -29,9 +29,6 @@
 CALLS_PER_S = store_module.CALLS_PER_S
 BURST_CALLS = store_module.BURST_CALLS
 MAX_READ_BACK_ATTEMPTS = 3
-# Changes of one object between a copy of the store, which is some seconds old,
-# and the store's return from it.
-MAX_REPLACED = 16
 
 WATCHED_KIND = "sapphirelift-records"
 UNWATCHED_KIND = "sapphirelift-state"
@@ -190,7 +187,9 @@
         """
         kind, name = _kind_and_name(item.key)
         current = self.store.get(kind, name)
-        if current is not None and not item.has_replaced(_write_id(current)):
+        if current is not None and not item.is_later_than(
+            _new_stored_object(current)
+        ):
             return
         body = {
             "value": item.value,
@@ -381,7 +380,5 @@
     >>> _history(replica.StoredObject("key", 9, {}, "b", ("a",)))
     {'replaced': ['b', 'a']}
     """
-    if replaces is None or not replaces.write_id:
-        return {}
-    ids = [replaces.write_id, *replaces.replaced]
-    return {"replaced": ids[:MAX_REPLACED]}
+    ids = replaces.history() if replaces is not None else ()
+    return {"replaced": list(ids)} if ids else {}
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -269,6 +269,15 @@
             assert sorted(stored) == [
                 f"records/data_centre/etela-{number}" for number in (1, 2, 4)
             ]
+            processes.wait_until(
+                lambda: (
+                    not any(
+                        fleet.dump(name)["lost_records"]
+                        for name in fleet.public
+                    )
+                ),
+                timeout_s=PROPAGATION_BOUND_S,
+            )
         # Also for a daemon without memory, and a change is not refused.
         fleet.start_balancer("balancer-9")
         processes.wait_until(lambda: is_in_force("balancer-9"))
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -160,11 +160,25 @@
         assert local.get(KEY) == found
         assert local.lost == set()
 
-    def test_deleted_state_does_not_come_back(self) -> None:
-        """Guards against a deletion that is taken back with the copy."""
+    @pytest.mark.parametrize("deleted", ["a", "b", ""])
+    def test_deleted_state_does_not_come_back(self, deleted: str) -> None:
+        """Guards against a deletion that is taken back with the copy.
+
+        The deletion shows the last state, the copied one if another daemon has
+        deleted it again, or none in a list.
+        """
         local = replica.Replica()
-        deleted = self.state(9, "b")._replace(value=None)
-        local.apply([deleted], revision=9)
-        local.apply([self.state(20, "a")], revision=20)
-        assert local.get(KEY) is None
-        assert local.lost == {KEY}
+        local.apply([self.state(9, "b")], revision=9)
+        removed = self.state(10, deleted or "a")._replace(value=None)
+        if not deleted:
+            removed = replica.StoredObject(KEY, 10, None)
+        for revision in (10, 30):
+            local.apply(
+                [removed._replace(revision=revision)], revision=revision
+            )
+            assert local.lost == set()
+            for number, write_id in enumerate("ab"):
+                found = self.state(revision + 1 + number, write_id)
+                local.apply([found], revision=found.revision)
+                assert local.get(KEY) is None
+                assert local.lost == {KEY}
