--- a/sapphirelift/bench/capacity.py
+++ b/sapphirelift/bench/capacity.py
@@ -135,8 +135,8 @@
     # Objects received from the platform share no strings; the JSON round trip
     # gives each object its own.
     return [
-        replica.StoredObject(k, r, json.loads(json.dumps(v)))
-        for k, r, v in stored_objects
+        item._replace(value=json.loads(json.dumps(item.value)))
+        for item in stored_objects
     ]
 
 
