Do not reset new flows after a pause of about a second

Cause: a balancer that was paused for 1.5 s or more drops openings without an agent until heartbeats have arrived again. Agents count as silent after 1.3 s already, at most 0.4 s of which have passed before the pause.

Fix: pauses from 0.9 s on count for this purpose. Only longer ones make what is in force count as out of date, as before. The balancer observes the time with its gossip too, twice a second, so that a quiet time is not taken for a pause: callers without any agent still hear it at once.

The new test fails on the code before.

--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -312,6 +312,8 @@
     def _gossip(self) -> None:
         while True:
             eventlet.sleep(GOSSIP_INTERVAL_S * self.rng.uniform(0.9, 1.1))
+            # Often enough that a quiet time is not taken for a pause.
+            self.observe_clock()
             self.core.is_store_connected = all(
                 follower.is_connected for follower in self._followers
             )
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -12,6 +12,7 @@
 from sapphirelift.core import revisions
 from sapphirelift.core.l4 import actions
 from sapphirelift.core.l4 import agents
+from sapphirelift.core.l4 import heartbeats
 from sapphirelift.core.l4 import lookup
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
@@ -39,6 +40,9 @@
 # After a pause it does so for two heartbeat intervals: the heartbeats that
 # waited meanwhile are old, and say that the agents have not heard it.
 SETTLE_AFTER_PAUSE_MS = 800
+# A pause from which agents can count as silent: one heartbeat interval may
+# have passed before it. What is in force is not out of date yet.
+SHORT_PAUSE_MS = agents.SUSPECT_AFTER_MS - heartbeats.MIN_INTERVAL_MS
 MAX_PEERS = 1024
 # Maximum number of agents asked about one flow without a resolver. If there are
 # more, a failed search does not prove that the flow has ended.
@@ -243,10 +247,12 @@
         Args:
             boot_ms: Time on a clock that runs while the instance is suspended.
         """
+        paused_ms = boot_ms - (self._freshness.last_observed_ms or boot_ms)
+        if paused_ms >= SHORT_PAUSE_MS:
+            self._resumed_boot_ms = boot_ms
         if not self._freshness.observe(boot_ms):
             return
         self.counters["resumed"] += 1
-        self._resumed_boot_ms = boot_ms
         self._resumed_number = self._revisions_number
         self._openings.clear()
         peers = list(self.peers)
--- a/tests/test_l4_failures.py
+++ b/tests/test_l4_failures.py
@@ -194,6 +194,29 @@
             assert actions.ResetCaller not in kinds
             assert (actions.SendDaemon in kinds) == (unheard_ms == 0)
 
+    @pytest.mark.parametrize(
+        ("pause_ms", "is_reset"), [(1300, False), (600, True)]
+    )
+    def test_new_flows_after_a_short_pause(
+        self, pause_ms: int, is_reset: bool
+    ) -> None:
+        """Guards against resets by pauses too short to make state stale.
+
+        Without a pause, all agents are silent, and callers hear it at once.
+        """
+        net = network(balancers=2)
+        core = next(iter(net.balancers.values())).core
+        until_ms = net.now_ms + balancer_module.SETTLE_MS
+        for now_ms in range(net.now_ms, until_ms, 500):
+            core.observe(now_ms)
+        net.now_ms = now_ms + pause_ms
+        core.observe(net.now_ms)
+        core.drain_actions()
+        core.on_packet(syn(1), net.now_ms)
+        kinds = [type(a) for a in core.drain_actions()]
+        assert actions.SendDaemon not in kinds
+        assert (actions.ResetCaller in kinds) == is_reset
+
     def test_open_flows_go_on(self) -> None:
         """Guards against flows that stand still after a pause."""
         net = network(balancers=2)
