--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -264,13 +264,15 @@
         after a deletion, and a second list may lag as well. A read of a single
         object is assumed to be current. More than ``MAX_MEMBER_READS`` missing
         members are kept without a read: missing heartbeats show which of them
-        are dead.
+        are dead. Records that the store has lost are kept too.
         """
         if self.platform_reverted:
             return []
-        missing = self.replica.missing_from(listing.objects, "records/")
-        lost = [i for i in missing if self._is_lost(i, listing.revision)]
-        missing = [i for i in missing if not self._is_lost(i, listing.revision)]
+        missing: list[replica.StoredObject] = []
+        lost: list[replica.StoredObject] = []
+        for item in self.replica.missing_from(listing.objects, "records/"):
+            is_lost = self._is_lost(item, listing.revision)
+            (lost if is_lost else missing).append(item)
         self.replica.lost.update(item.key for item in lost)
         members = self.replica.missing_from(listing.objects, "members/")
         kept = []
