Let an agent follow the platform until it knows a balancer

Callers' flows stayed at a drained agent, and changes of records never reached it. An agent stopped following the platform once its replica had a revision. If it listed the objects before the first balancer had announced itself, its own announcement was enough for that. It then knew no balancer, sent no heartbeats, and got no records for the rest of its life, unless its settings named neighbours.

The agent follows the platform until it knows a balancer, which sends it later changes.

--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -22,6 +22,7 @@
 
 # Status and lease objects are excluded: each write would wake every watch.
 PREFIXES = ("records/", "members/")
+BALANCER_PREFIX = "members/balancer/"
 # With the margin that the client adds, an unanswered watch is retried after
 # 3 s. 840 watching balancers make 420 reads/s; the platform takes 2,000.
 WATCH_WAIT_MS = 2000
@@ -128,7 +129,10 @@
         }
 
     def _follow(self) -> None:
-        """Follows the platform; an agent stops once it has a record set."""
+        """Follows the platform; an agent stops once it knows a balancer.
+
+        Balancers send it later changes.
+        """
         delays = backoff.Backoff(self._rng, max_s=MAX_DELAY_S)
         while True:
             before = self.replica.revision
@@ -149,9 +153,12 @@
                 if self.replica.revision == 0:
                     self._fetch_from_neighbours()
                 eventlet.sleep(delays.next_s())
-            if self._settings.role == "agent" and self.replica.revision > 0:
+            if self._settings.role == "agent" and self._knows_balancer():
                 return
 
+    def _knows_balancer(self) -> bool:
+        return any(True for _ in self.replica.items(BALANCER_PREFIX))
+
     def _watch(self, since: int) -> bool:
         epoch = self._epoch()
         try:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -109,6 +109,17 @@
         for name in fleet.public:
             assert fleet.dump(name)["withdrawn"] == ["etela-b"]
 
+    def test_agent_that_starts_before_all_balancers(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against agents that stop looking for balancers too early."""
+        fleet.start_platform()
+        fleet.start_agent("agent-0", service=SERVICE)
+        processes.wait_until(lambda: fleet.dump("agent-0")["revision"] > 0)
+        fleet.start_balancer("balancer-0")
+        fleet.wait_ready(agents=1)
+        wait_in_force(fleet, withdraw(fleet, "etela-b"))
+
     def test_stale_reads_and_restarted_store_revert_nothing(
         self, fleet: processes.Fleet
     ) -> None:
