Let agents whose balancers have all been replaced find the new ones

After the last balancer that an agent knew had died, and another had started at a new address, the agent got no more records, and its member object was marked and deleted. Found while the cause of TestDrain was looked for at other places: agents learn of new balancers only from balancers that they know.

An agent that no balancer answers for 3 s replaces its control socket. It also lists the platform's objects now, at the bounded rate that it uses after a missed key rotation.

--- a/sapphirelift/_agent_node.py
+++ b/sapphirelift/_agent_node.py
@@ -135,6 +135,14 @@
         self._events.put(agent.ReleaseFlows())
         eventlet.sleep(TICK_INTERVAL_S)
 
+    def _replace_control_socket(self) -> None:
+        """Replaces the socket, and asks the platform for other balancers.
+
+        Others may have taken the place of all those that the agent knows.
+        """
+        super()._replace_control_socket()
+        self.sync.resync()
+
     def _apply_member(self, change: replica.StoredObject) -> None:
         """Applies changes of balancers and of agents of the same service.
 
--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -356,7 +356,8 @@
         """Lists the platform's objects once, at a bounded rate.
 
         An agent that has missed a key rotation cannot verify heartbeats, and
-        so cannot learn from them that there are newer records.
+        so cannot learn from them that there are newer records. Nor can one
+        that knows only balancers that are gone.
         """
         if self._resync_pending:
             return
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -120,6 +120,22 @@
         fleet.wait_ready(agents=1)
         wait_in_force(fleet, withdraw(fleet, "etela-b"))
 
+    def test_agent_whose_balancers_have_been_replaced(
+        self, fleet: processes.Fleet
+    ) -> None:
+        """Guards against agents that know dead balancers only, for good."""
+        fleet.start_platform()
+        fleet.start_balancer("balancer-0")
+        fleet.start_agent("agent-0", service=SERVICE)
+        fleet.wait_ready(agents=1)
+        fleet.kill("balancer-0")
+        fleet.start_balancer("balancer-1")
+        revision = withdraw(fleet, "etela-b")
+        processes.wait_until(
+            lambda: fleet.dump("agent-0")["revision"] >= revision,
+            timeout_s=_record_sync.RESYNC_INTERVAL_S + PROPAGATION_BOUND_S,
+        )
+
     def test_stale_reads_and_restarted_store_revert_nothing(
         self, fleet: processes.Fleet
     ) -> None:
