--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -195,7 +195,9 @@
         Returns:
             False if the next read must wait for the backoff delay.
         """
-        if not self._is_usable(listing.revision):
+        era = revisions.era_of(listing.revision)
+        self._note_era(era)
+        if not self._is_usable(era):
             self._held_unsettled |= {item.key for item in listing.objects}
             return False
         lowest_revision = self.replica.revision
@@ -223,7 +225,24 @@
             self._start_writing_lost_records()
         return not listing.complete or self.replica.revision > before
 
-    def _is_usable(self, revision: int) -> bool:
+    def _note_era(self, era: int) -> None:
+        """Begins to wait until the contents of a new era are settled."""
+        if self._era is not None and era <= self._era:
+            return
+        self._era = era
+        self._held_unsettled = set()
+        in_force = self.replica.revision
+        if not in_force:
+            self._set_unsettled()
+        elif era > revisions.era_of(in_force):
+            self._settles_ms = clock.boot_ms() + revisions.REWRITE_MS
+            self.counters["store_restores"] += 1
+            eliot.log_message(
+                "store_restored", era=era, revision_in_force=in_force
+            )
+            self._on_new_era()
+
+    def _is_usable(self, era: int) -> bool:
         """Returns whether the store's contents may take the place of others.
 
         At the beginning of an era, the store may hold older states of records
@@ -231,23 +250,9 @@
         that has no records, and gets none of its neighbours, takes what there
         is.
         """
-        era = revisions.era_of(revision)
         in_force = self.replica.revision
-        is_same_era = era <= revisions.era_of(in_force)
-        if self._era is None or era > self._era:
-            self._era = era
-            self._held_unsettled = set()
-            if not in_force:
-                self._set_unsettled()
-            elif not is_same_era:
-                self._settles_ms = clock.boot_ms() + revisions.REWRITE_MS
-                self.counters["store_restores"] += 1
-                eliot.log_message(
-                    "store_restored", era=era, revision_in_force=in_force
-                )
-                self._on_new_era()
         is_settled = clock.boot_ms() >= self._settles_ms
-        return not in_force or is_same_era or is_settled
+        return not in_force or era <= revisions.era_of(in_force) or is_settled
 
     def _note_era_of_neighbour(self, era: int) -> None:
         """Records an era that a neighbour has found to be settled."""
