--- a/sapphirelift/core/membership/membership.py
+++ b/sapphirelift/core/membership/membership.py
@@ -103,7 +103,7 @@
             none is expected because this process neither watches the member
             nor is watched by it.
         is_confirmed: Whether a heartbeat or acknowledgement has ever arrived.
-            Until then the time limit is ``MARK_AFTER_MS`` instead of
+            Until then the timeout is ``MARK_AFTER_MS`` instead of
             ``SUSPECT_AFTER_MS``.
         load: Used fraction of the admission limit, 0 to 1.
         cold: Whether the cold-start ramp limits the member's backend server.
