Announce a member again whose store returned before its first list

A daemon that announced itself, and listed the store for the first time after the store had returned from a copy without its announcement, stayed missing in the store for good: a daemon without records took the first era that it saw in a list for the one in which it had announced itself. New daemons then did not learn of it.

The client of the store counts the returns since its first answer. If there were any before the first list, the daemon announces itself again. The new test failed before.

--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -234,6 +234,9 @@
         in_force = self.replica.revision
         if not in_force:
             self._set_unsettled()
+            if self.platform.store.restores:
+                # The daemon has announced itself before its first list.
+                self._on_new_era()
         elif era > revisions.era_of(in_force):
             self._settles_ms = clock.boot_ms() + revisions.REWRITE_MS
             self.counters["store_restores"] += 1
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -410,6 +410,15 @@
             assert found.value == {"current": 1 if is_settled else 2}
             assert len(eras) == is_settled
 
+    def test_store_returns_before_the_first_list(self) -> None:
+        """Guards against a lost announcement that is not repeated."""
+        eras: list[int] = []
+        sync = new_sync(on_new_era=lambda: eras.append(1))
+        sync.platform.store.restores = 1
+        revision = revisions.of_store(1, era=1)
+        sync._apply_listing(client.Listing(revision, [], complete=True))
+        assert len(eras) == 1
+
     def test_daemon_without_records_is_unsettled_at_first(self) -> None:
         """Guards against a new daemon that is taken for one with memory."""
         sync = new_sync()
