--- a/review/harness.py
+++ b/review/harness.py
@@ -140,6 +140,12 @@
         self._fleet.record.write(f"{number.name} to {self.name}")
         self.process.send_signal(number)
 
+    def kill(self) -> None:
+        """Kills the process, as a loss of power does."""
+        assert self.process is not None
+        self.process.kill()
+        self.process.wait()
+
     async def stop(self) -> None:
         """Stops the process by plan: SIGTERM, then SIGKILL after the grace."""
         assert self.process is not None
@@ -547,6 +553,11 @@
         )
         self._end.open()
 
+    def open_with_request(self) -> None:
+        """Opens the flow and sends a request as soon as it is open."""
+        self._end.opens_with_request = True
+        self.open()
+
     def request(self) -> None:
         """Sends a request on the open flow."""
         self._fleet.record.write(f"request {self.flow}")
