--- a/review/1/run.py
+++ b/review/1/run.py
@@ -14,8 +14,8 @@
 sys.path.insert(0, str(HERE.parent))
 import harness  # noqa: E402
 
-ROUTE = "198.18.0.1:443"
-OTHER_ROUTE = "198.18.0.2:443"
+ROUTE = "127.62.9.1:443"
+OTHER_ROUTE = "127.62.9.2:443"
 CALLER_IP = "127.62.0.7"
 FIRST_PORT = 40_000
 FLOWS = 24
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -16,7 +16,7 @@
 sys.path.insert(0, str(HERE.parent))
 import harness  # noqa: E402
 
-ROUTE = "198.18.0.1:443"
+ROUTE = "127.63.9.1:443"
 CALLER_IP = "127.63.0.7"
 FIRST_PORT = 20_000
 BALANCERS = 5
@@ -122,7 +122,7 @@
     broken = 0
     ports = itertools.count(FIRST_PORT)
     for number in range(1, ROUNDS + 1):
-        route = f"198.18.0.1:{8000 + number}"
+        route = f"127.63.9.1:{8000 + number}"
         await fleet.configure(version + 2, {ROUTE: "shop", route: "shop"})
         await asyncio.sleep(SILENT_AFTER_S)
         usable = await _open(fleet, route, ports, for_s=0.0)
--- a/review/harness.py
+++ b/review/harness.py
@@ -50,10 +50,10 @@
             socket.socket() as tcp,
             socket.socket(type=socket.SOCK_DGRAM) as udp,
         ):
-            tcp.bind(("0.0.0.0", 0))
+            tcp.bind(("127.0.0.1", 0))
             port = tcp.getsockname()[1]
             try:
-                udp.bind(("0.0.0.0", port))
+                udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
             if port not in found:
