Send an opening packet where its route leads, not to a former owner

Cause: the cache of flow owners was used for every opening packet of the same addresses and ports. An entry that a search had left matched any sequence number, had no lifetime, and the balancer filled in the service that the instance at the owner's address has now, so that the check of the agent passed too. Callers use their ports again, addresses go to other services, and routes are given to others.

An opening packet now goes to a known owner only as a copy of the opening that it has accepted: the same sequence number, within the time for which callers repeat it. All others follow the route in force, and end what is known of the former flow, searches included. The agent applies the same test, and a copy is sent with the service of its opening.

Considered: a late copy of an opening packet of a flow whose owner was found by a search opens a second time elsewhere. The caller ignores that acceptance, and the first packet with another acknowledgement number sends the balancer back to a search.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -25,8 +25,6 @@
 # to another agent. It normally takes less than a millisecond, but an instance
 # that has used up its CPU quota stalls for up to 100 ms.
 ACCEPT_MS = 105
-# Callers stop retransmitting an opening packet after 1.4 s.
-OPEN_LIFETIME_MS = 1500
 # After this many consecutive unanswered opening packets, the backend server
 # counts as unresponsive for ``UNRESPONSIVE_MS``.
 UNANSWERED_OPENS = 2
@@ -411,7 +409,7 @@
         """Handles an opening packet."""
         key = received.flow
         flow = self.flows.get(key)
-        if flow is not None and flow.caller_sequence == received.sequence:
+        if flow is not None and flow.is_opened_by(received, now_ms):
             flow.balancer = offer.balancer
             self._send_opened(key, flow)
             if flow.phase is not _Phase.HELD:
@@ -896,7 +894,7 @@
         for key, flow in self.flows.opening():
             if flow.phase is _Phase.HELD:
                 continue
-            if now_ms - flow.sent_ms > OPEN_LIFETIME_MS:
+            if now_ms - flow.sent_ms > packet.OPEN_LIFETIME_MS:
                 self._remove_flow(key, now_ms)
                 self.counters["opens_unanswered"] += 1
                 self._log("open_timed_out", flow=str(key))
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -28,8 +28,6 @@
 # on an opening that its backend server has not answered (``agent.ACCEPT_MS``
 # and one tick), and shorter than the 200 ms after which callers retransmit it.
 OPEN_ANSWER_MS = 140
-# Callers stop retransmitting an opening packet after 1.4 s.
-OPEN_LIFETIME_MS = 1500
 # Size of the owner cache: five times the open flows of an entry instance at the
 # design size.
 MAX_OWNERS = 60_000
@@ -77,6 +75,8 @@
         address: Address of the agent that owns the flow.
         caller_sequence: Sequence number of the opening packet, None if the
             owner was found by a search.
+        service: Service to which the opening was assigned.
+        received_ms: When the opening packet was received.
         initial_sequence: Initial sequence number of the backend server, None
             if unknown.
         alternative: A second agent whose backend server has accepted a copy
@@ -85,15 +85,24 @@
 
     address: messages.Address
     caller_sequence: int | None = None
+    service: str = ""
+    received_ms: int = 0
     initial_sequence: int | None = None
     alternative: tuple[messages.Address, int] | None = None
 
+    def is_opened_by(self, received: packet.Packet, now_ms: int) -> bool:
+        """Returns whether an opening packet is a copy of the flow's one."""
+        return received.repeats_opening(
+            self.caller_sequence, now_ms - self.received_ms
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class _Opening:
-    """An opening packet that no agent has answered yet.
+    """An opening packet and the agents to which it is offered.
 
     Attributes:
+        service: Service to which the configuration in force assigned it.
         candidates: Agents that may open the flow, best first.
         sent_ms: When the packet was sent to the current candidate.
         index: Position of the current candidate.
@@ -109,6 +118,12 @@
     index: int = 0
     held_until_ms: int = 0
 
+    def is_opened_by(self, received: packet.Packet, now_ms: int) -> bool:
+        """Returns whether an opening packet is a copy of this one."""
+        return received.repeats_opening(
+            self.caller_sequence, now_ms - self.started_ms
+        )
+
     def is_overdue(self, now_ms: int) -> bool:
         """Returns whether the current candidate is late with its answer."""
         since_ms = max(self.sent_ms, self.held_until_ms)
@@ -343,19 +358,26 @@
     def _on_syn(self, received: packet.Packet, now_ms: int) -> None:
         flow = received.flow
         owner = self._owners.get(flow)
-        if owner is not None:
-            if owner.caller_sequence in (None, received.sequence):
-                self._forward_syn_to_owner(owner.address, received)
-                return
-            del self._owners[flow]
+        if owner is not None and owner.is_opened_by(received, now_ms):
+            self._forward_copy_to_owner(owner, received)
+            return
         opening = self._openings.get(flow)
-        if opening is not None:
-            if opening.caller_sequence == received.sequence:
-                self._on_retransmitted_syn(flow, opening, now_ms)
-                return
-            del self._openings[flow]
+        if opening is not None and opening.is_opened_by(received, now_ms):
+            self._on_retransmitted_syn(flow, opening, now_ms)
+            return
+        self._forget_former_flow(flow)
         self._open(received, now_ms)
 
+    def _forget_former_flow(self, flow: packet.FlowKey) -> None:
+        """Forgets what is known of a flow that the caller opens anew.
+
+        Its former owner may serve another service by now, or the route may
+        lead to another one.
+        """
+        self._owners.pop(flow, None)
+        self._openings.pop(flow, None)
+        self._lookups.cancel(flow)
+
     def _open(self, received: packet.Packet, now_ms: int) -> None:
         flow = received.flow
         if not self._freshness.is_fresh(self._freshness.last_observed_ms):
@@ -449,14 +471,18 @@
         agent = self.agents.get(address)
         return agent is not None and not agent.is_cold
 
-    def _forward_syn_to_owner(
-        self, address: messages.Address, received: packet.Packet
+    def _forward_copy_to_owner(
+        self, owner: _Owner, received: packet.Packet
     ) -> None:
-        """Forwards an opening packet to the known owner of its flow."""
-        agent = self.agents.get(address)
-        service = agent.heartbeat.service if agent is not None else ""
-        message = messages.Open(service, self._address, (), False, received.raw)
-        self._actions.append(actions.SendDaemon(address, message))
+        """Forwards a copy of an opening packet to the agent that accepted it.
+
+        The service is that of the opening: another instance may have taken
+        over the agent's address.
+        """
+        message = messages.Open(
+            owner.service, self._address, (), False, received.raw
+        )
+        self._actions.append(actions.SendDaemon(owner.address, message))
 
     def _on_retransmitted_syn(
         self, flow: packet.FlowKey, opening: _Opening, now_ms: int
@@ -824,6 +850,8 @@
                 _Owner(
                     opened.agent,
                     opening.caller_sequence,
+                    opening.service,
+                    opening.started_ms,
                     opened.initial_sequence,
                 ),
             )
@@ -1297,7 +1325,7 @@
         To be called every 20 ms.
         """
         for flow, opening in list(self._openings.items()):
-            if now_ms - opening.started_ms > OPEN_LIFETIME_MS:
+            if now_ms - opening.started_ms > packet.OPEN_LIFETIME_MS:
                 del self._openings[flow]
                 self.counters["opens_timed_out"] += 1
                 self._log(
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -59,7 +59,7 @@
         opening_data: The opening packet, until the flow is accepted.
         sent_ms: When the opening packet is sent to the backend server; may
             be in the future for a held flow.
-        held_ms: When the opening packet was received.
+        held_ms: When the opening packet was first received.
         accepted_ms: When the backend server accepted the flow, or when the
             agent first forwarded a packet of a flow unknown to it.
         caller_acknowledged: Last acknowledgement number of the caller, used
@@ -80,6 +80,12 @@
     caller_acknowledged: int = 0
     request_ms: int | None = None
 
+    def is_opened_by(self, received: packet.Packet, now_ms: int) -> bool:
+        """Returns whether an opening packet is a copy of this flow's one."""
+        return received.repeats_opening(
+            self.caller_sequence, now_ms - self.held_ms
+        )
+
 
 class FlowTable:
     """Bounded table of flows in least recently used order.
--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -191,6 +191,10 @@
         )
         return self._advance(received.flow, now_ms)
 
+    def cancel(self, flow: packet.FlowKey) -> None:
+        """Ends the search for the owner of a flow, without an outcome."""
+        self._lookups.pop(flow, None)
+
     def on_resolve_sent(
         self, flow: packet.FlowKey, address: messages.Address
     ) -> None:
--- a/sapphirelift/core/l4/packet.py
+++ b/sapphirelift/core/l4/packet.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+# Callers stop retransmitting an opening packet after 1.4 s.
+OPEN_LIFETIME_MS = 1500
+
 
 class FlowKey(NamedTuple):
     """Identity of a flow: the addresses of its two endpoints.
@@ -56,6 +59,17 @@
     payload_bytes: int
     raw: bytes
 
+    def repeats_opening(self, sequence: int | None, age_ms: int) -> bool:
+        """Returns whether this opening packet is a copy of an earlier one.
+
+        Callers use their ports again, so that a later one opens another flow.
+
+        Args:
+            sequence: Sequence number of the earlier one, None if unknown.
+            age_ms: Time since the earlier one was received.
+        """
+        return self.sequence == sequence and age_ms <= OPEN_LIFETIME_MS
+
 
 def ip_text(ip: int) -> str:
     """Returns an IPv4 address in dotted decimal notation.
--- a/sapphirelift/standins/packet_network.py
+++ b/sapphirelift/standins/packet_network.py
@@ -289,6 +289,23 @@
         self.agents[host.address.ip] = host
         return host
 
+    def replace_agent(self, former: AgentHost, *, service: str) -> AgentHost:
+        """Removes an instance and starts another one at its address."""
+        former.stop_agent()
+        former.backend.is_alive = False
+        host = AgentHost(
+            self,
+            f"{former.name}-{service}",
+            former.address.ip,
+            service=service,
+            data_centre=former.data_centre,
+            work_ms=20,
+            slots=2,
+            cold_ms=0,
+        )
+        self.agents[host.address.ip] = host
+        return host
+
     def set_configuration(self, changed: routes.Configuration) -> None:
         """Applies a configuration at all balancers."""
         self.configuration = changed
@@ -311,10 +328,15 @@
 
     # Callers.
 
-    def open_flow(self, *, port: int = ROUTE_PORT) -> flow_ends.CallerFlow:
-        """Opens a flow from a caller port that has not been used yet."""
+    def open_flow(
+        self, *, port: int = ROUTE_PORT, caller_port: int | None = None
+    ) -> flow_ends.CallerFlow:
+        """Opens a flow, by default from a caller port not used before."""
         flow = packet.FlowKey(
-            packets.ip_number("100.64.0.1"), next(self._ports), ROUTE_IP, port
+            packets.ip_number("100.64.0.1"),
+            next(self._ports) if caller_port is None else caller_port,
+            ROUTE_IP,
+            port,
         )
         caller = flow_ends.CallerFlow(
             flow,
@@ -326,6 +348,10 @@
         caller.open()
         return caller
 
+    def inject(self, data: bytes) -> None:
+        """Sends a packet of a caller that this network does not model."""
+        self._send_from_caller(packets.decode_from_caller(data).flow, data)
+
     def owner(self, flow: packet.FlowKey) -> AgentHost | None:
         """Returns the host whose backend server has a flow."""
         for host in self.agents.values():
--- a/tests/test_l4_bounded_state.py
+++ b/tests/test_l4_bounded_state.py
@@ -96,7 +96,7 @@
         core = new_agent()
         offer(core, 1, NOW_MS)
         deliver_request(core, 1, NOW_MS)
-        core.tick(NOW_MS + agent_module.OPEN_LIFETIME_MS + 1)
+        core.tick(NOW_MS + packet.OPEN_LIFETIME_MS + 1)
         assert len(core.flows) == 0
         assert core.dump(NOW_MS)["busy"] == 0
 
--- /dev/null
+++ b/tests/test_l4_reuse.py
@@ -0,0 +1,119 @@
+"""Addresses, ports and routes that change hands between two flows."""
+
+import pytest
+
+from sapphirelift.core.l4 import packet
+from sapphirelift.standins import flow_ends
+from sapphirelift.standins import packet_network
+
+FLOWS = 20
+SEEDS = (1, 2, 3)
+
+
+def network(seed: int) -> packet_network.Network:
+    """Returns a network with three servers of one service and one of another.
+
+    Only the first one is named by the route.
+    """
+    net = packet_network.Network(seed)
+    for service in ("shop", "shop", "shop", "label"):
+        net.add_agent(service=service)
+    for _ in range(2):
+        net.add_balancer()
+    net.run(500)
+    return net
+
+
+def open_from(
+    net: packet_network.Network, ports: range
+) -> list[flow_ends.CallerFlow]:
+    """Opens a flow from each port and sends a request on it."""
+    flows = []
+    for caller_port in ports:
+        flows.append(net.open_flow(caller_port=caller_port))
+        flows[-1].opens_with_request = True
+        net.run(5)
+    net.run(1500)
+    return flows
+
+
+def restart_balancers(net: packet_network.Network) -> None:
+    """Restarts all balancers, which forget the owners of all flows."""
+    for ip in list(net.balancers):
+        net.add_balancer(ip)
+    net.run(1000)
+
+
+def request_and_close(
+    net: packet_network.Network, flows: list[flow_ends.CallerFlow]
+) -> None:
+    """Sends a request on each open flow and closes it."""
+    for flow in flows:
+        flow.request()
+        net.run(5)
+    net.run(1000)
+    for flow in flows:
+        flow.close()
+    net.run(100)
+
+
+class TestReusedPort:
+    """Callers that open another flow from a port."""
+
+    PORTS = range(5000, 5000 + FLOWS)
+
+    # Guards against a new flow that runs at the service of another instance,
+    # which has taken over the address of a former flow's owner (review/1).
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_opening_does_not_follow_an_owner_found_by_a_search(
+        self, seed: int
+    ) -> None:
+        """The route decides where a new flow goes."""
+        net = network(seed)
+        flows = open_from(net, self.PORTS)
+        restart_balancers(net)
+        request_and_close(net, flows)
+        replaced = net.replace_agent(net.agents["10.2.0.1"], service="label")
+        net.run(60_000)
+        flows = open_from(net, self.PORTS)
+        assert [flow.answers for flow in flows] == [1] * FLOWS
+        assert not replaced.backend.requests
+
+    # Guards against a route that goes on at its former service for the ports
+    # that callers use again.
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_opening_follows_the_route_in_force(self, seed: int) -> None:
+        """A route that was given to another service is followed at once."""
+        net = network(seed)
+        flows = open_from(net, self.PORTS)
+        restart_balancers(net)
+        request_and_close(net, flows)
+        net.set_configuration(
+            packet_network.configuration(2, services=("label",))
+        )
+        flows = open_from(net, self.PORTS)
+        assert [flow.answers for flow in flows] == [1] * FLOWS
+        label = net.agents["10.2.0.4"].backend
+        assert set(label.requests) == {flow.flow for flow in flows}
+
+    # Guards against a new flow that is taken for a copy of a former opening.
+    def test_sequence_number_may_be_used_again(self) -> None:
+        """Copies of an opening packet come soon after it, or not at all."""
+        net = network(1)
+        flow = open_from(net, range(5000, 5001))[0]
+        opening = flow_ends.from_caller(
+            flow.flow, flow_ends.SYN, sequence=77, acknowledged=0
+        )
+        for version, service in ((2, "shop"), (3, "label")):
+            net.set_configuration(
+                packet_network.configuration(version, services=(service,))
+            )
+            net.inject(opening)
+            net.run(packet.OPEN_LIFETIME_MS + 100)
+            owners = [
+                host.service
+                for host in net.agents.values()
+                if (found := host.agent.flows.get(flow.flow))
+                and found.caller_sequence == 77
+            ]
+            assert service in owners
