Notice silent connections to the store in time at any number of balancers

Cause: only the end of a watch shows that its connection has gone silent, and its length grew with the number of balancers, up to 21 s. The design counted on watches that end at different times, but each change of the configuration sets them all to the same time. A peer's word of a newer version was followed by a second of waiting at each hop, and idle connections, silent with the others, could be used again.

Two balancers, agreed on by a hash over those that are heard and that the store answers, now renew their watches each second (configuration) and each two (evacuations). Others hear of a version from them through a relay without a delay, and begin their watches again over new connections if these have not delivered it within 250 ms; a copy is fetched from a peer after 1 s, as before. A call that times out ends the process's other waiting watches and drops its idle connections.

So the silence is noticed after 2 s and a retry, and all balancers follow within 0.5 s (in memory, up to 59 balancers), before 4 s have passed. It costs 3 calls a second, whatever the number of balancers.

--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -24,6 +24,12 @@
 from sapphirelift.platform import packets
 
 GOSSIP_INTERVAL_S = 0.5
+# Duration of a sentinel's watch. With the margin after which a watch counts as
+# silent (1 s), a new connection, and the way to the other balancers (below
+# 0.5 s), it lies within the time after which an instance whose connections went
+# silent counts as in touch again (4 s), and within that of an evacuation (5 s).
+SENTINEL_CONFIGURATION_WAIT_MS = 1000
+SENTINEL_EVACUATIONS_WAIT_MS = 2000
 # Source, in logs, of state that no other daemon has sent.
 STORE = "store"
 REPLICA_PATH = "/replica"
@@ -61,8 +67,15 @@
         )
         self._replica_state: dict[str, Any] = {}
         self._is_fetching = False
+        # Until it knows others.
+        self._is_sentinel = True
         self._refused_revision = 0
-        self._http = urllib3.PoolManager(retries=False, timeout=FETCH_TIMEOUT_S)
+        self._http = urllib3.PoolManager(
+            retries=False,
+            timeout=FETCH_TIMEOUT_S,
+            # An idle connection may have gone silent until the next fetch.
+            headers={"Connection": "close"},
+        )
         self._caller_socket = datagrams.DatagramSocket(
             deployment.address(settings.packets),
             self._on_packet,
@@ -75,11 +88,14 @@
         self._directory = self.new_directory("balancer")
         self._followers = [
             self._follow(
-                configuration.CONFIGURATION_KIND, self._on_configuration
+                configuration.CONFIGURATION_KIND,
+                self._on_configuration,
+                sentinel_wait_ms=SENTINEL_CONFIGURATION_WAIT_MS,
             ),
             self._follow(
                 configuration.EVACUATION_KIND,
                 self._on_evacuations,
+                sentinel_wait_ms=SENTINEL_EVACUATIONS_WAIT_MS,
                 settle_ms=revisions.REWRITE_MS,
             ),
         ]
@@ -89,6 +105,7 @@
         kind: str,
         on_objects: _store_follower.OnObjects,
         *,
+        sentinel_wait_ms: int,
         settle_ms: int = 0,
     ) -> _store_follower.StoreFollower:
         return _store_follower.StoreFollower(
@@ -97,6 +114,9 @@
             on_objects=on_objects,
             settle_ms=settle_ms,
             balancers=lambda: len(self.core.peers) + 1,
+            sentinel_wait_ms=lambda: (
+                sentinel_wait_ms if self._is_sentinel else None
+            ),
             log=self.log,
             rng=self.rng,
         )
@@ -140,6 +160,7 @@
             "evacuated": sorted(self.core.evacuations.data_centres),
             "peers": len(self.core.peers),
             "watched_agents": len(self.core.watch),
+            "is_sentinel": self._is_sentinel,
             "agents": {
                 agent.name: agent.heartbeat._asdict()
                 | {"heard_ms_ago": now_ms - agent.last_heard_ms}
@@ -309,6 +330,20 @@
         """Returns True: the directory may list agents not heard from yet."""
         return True
 
+    def _update_sentinel(self) -> None:
+        is_sentinel = self.core.is_sentinel(clock.now_ms())
+        if is_sentinel == self._is_sentinel:
+            return
+        self._is_sentinel = is_sentinel
+        self.log.write("store_sentinel", is_sentinel=is_sentinel)
+        if is_sentinel:
+            # The watches that wait may do so for longer than a sentinel's.
+            self.store.renew_watches()
+
+    def renew_watches(self) -> None:
+        """Begins the watches of the store again."""
+        self.store.renew_watches()
+
     def _gossip(self) -> None:
         while True:
             eventlet.sleep(GOSSIP_INTERVAL_S * self.rng.uniform(0.9, 1.1))
@@ -317,6 +352,7 @@
             self.core.is_store_connected = all(
                 follower.is_connected for follower in self._followers
             )
+            self._update_sentinel()
             self.core.gossip(clock.now_ms())
             self.perform()
             self._directory.on_era(self.core.store_era)
--- a/sapphirelift/_packet_node.py
+++ b/sapphirelift/_packet_node.py
@@ -274,6 +274,8 @@
                 self.daemon_socket.send(reset, (caller_ip, self._caller_port))
             case actions.FetchReplica(address):
                 eventlet.spawn(self.fetch_replica, address)
+            case actions.RenewWatches():
+                self.renew_watches()
             case actions.Log(event, fields):
                 self.log.write(event, **fields)
 
@@ -285,6 +287,10 @@
         """Fetches the replicated state of another balancer."""
         raise NotImplementedError
 
+    def renew_watches(self) -> None:
+        """Begins the watches of the store again."""
+        raise NotImplementedError
+
     def _tick(self) -> None:
         try:
             while self.core.has_pending:
--- a/sapphirelift/_store_follower.py
+++ b/sapphirelift/_store_follower.py
@@ -15,9 +15,9 @@
 from sapphirelift.core.requests import backoff
 from sapphirelift.platform import store as store_module
 
-# A connection can stop answering without an error. The balancers renew their
-# watches at different times, so that a change still reaches one of them soon,
-# and the others through it.
+# A connection can stop answering without an error. The sentinels among the
+# balancers renew their watches so often that they notice it in time, see
+# ``core.l4.sentinels``; the others do so more rarely, the more there are.
 MIN_WAIT_MS = 3000
 MAX_WAIT_MS = 20_000
 WAIT_MS_PER_BALANCER = 1500
@@ -70,6 +70,7 @@
         on_objects: OnObjects,
         settle_ms: int,
         balancers: Callable[[], int],
+        sentinel_wait_ms: Callable[[], int | None] = lambda: None,
         log: decision_log.DecisionLog,
         rng: random.Random,
     ) -> None:
@@ -82,6 +83,8 @@
             settle_ms: Time after the first answer of an era until its contents
                 count as settled.
             balancers: Returns the number of balancers that watch the store.
+            sentinel_wait_ms: Returns the duration of a watch of a sentinel,
+                None if this daemon is not one.
             log: Log of lost and regained connections.
             rng: Source of jitter.
         """
@@ -91,6 +94,7 @@
         self._on_objects = on_objects
         self._settle_ms = settle_ms
         self._balancers = balancers
+        self._sentinel_wait_ms = sentinel_wait_ms
         self._log = log
         self._rng = rng
         self._objects: dict[str, store_module.Object] = {}
@@ -167,7 +171,9 @@
         # returned from an older copy meanwhile.
         if not self.is_connected:
             return 0
-        longest_ms = wait_ms(self._balancers(), self._rng)
+        longest_ms = self._sentinel_wait_ms() or wait_ms(
+            self._balancers(), self._rng
+        )
         unsettled_ms = self._settles_ms - clock.now_ms()
         return min(longest_ms, unsettled_ms) if unsettled_ms > 0 else longest_ms
 
--- a/sapphirelift/core/l4/actions.py
+++ b/sapphirelift/core/l4/actions.py
@@ -49,6 +49,11 @@
     address: messages.Address
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RenewWatches:
+    """Begins the watches of the store again, over new connections."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Log:
     """Writes a log line.
@@ -63,5 +68,11 @@
 
 
 Action = (
-    SendDaemon | SendCaller | SendBackend | ResetCaller | FetchReplica | Log
+    SendDaemon
+    | SendCaller
+    | SendBackend
+    | ResetCaller
+    | FetchReplica
+    | RenewWatches
+    | Log
 )
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -20,6 +20,7 @@
 from sapphirelift.core.l4 import resolver
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
+from sapphirelift.core.l4 import sentinels
 from sapphirelift.core.l4 import watch as watch_module
 from sapphirelift.core.membership import freshness
 
@@ -54,7 +55,10 @@
 # Maximum number of agents listed in a message to a peer.
 MAX_LISTED_AGENTS = 2
 # A balancer that has heard of a newer configuration waits this long for the
-# store to deliver it before it fetches it from another balancer: a page of
+# store to deliver it. Its watch may have gone silent then, so it begins another
+# one. The store answers within some milliseconds, and a slow one within 200.
+RENEW_GRACE_MS = 250
+# After this long it fetches the configuration from another balancer: a page of
 # 300 KB with 1,400 routes, which fills a link of 20 Mbit/s for 0.1 s.
 FETCH_GRACE_MS = 1000
 # Peers asked for their revisions after a pause, so that one at least answers.
@@ -138,13 +142,26 @@
 
 
 class _NewerReplica(NamedTuple):
-    """A peer that has announced state that this balancer lacks."""
+    """A peer that has announced state that this balancer lacks.
+
+    Attributes:
+        since_ms: When this balancer first heard that it lacks something.
+        has_renewed: Whether it has begun its watches again since then.
+    """
 
     address: messages.Address
     configuration_version: int
     configuration_revision: int
     has_directory: bool
     since_ms: int
+    has_renewed: bool = False
+
+    def is_older_than(self, other: "_NewerReplica") -> bool:
+        """Returns whether another peer has a newer configuration."""
+        return (self.configuration_version, self.configuration_revision) < (
+            other.configuration_version,
+            other.configuration_revision,
+        )
 
 
 class Balancer:
@@ -206,6 +223,8 @@
         self._data_centre = data_centre
         self.watch = watch_module.Watch(own=address, data_centre=data_centre)
         self.contact_ms = contact_ms
+        # Peers that the store answers, by their own word, and when.
+        self._peers_with_store: dict[messages.Address, int] = {}
         self._departed_agents: dict[messages.Address, _DepartedAgent] = {}
         self._unconfirmed_agents: dict[messages.Address, int] = {}
         self._started_ms = now_ms
@@ -246,11 +265,18 @@
 
     @property
     def has_pending(self) -> bool:
-        """Whether ``tick`` has openings or searches to time out."""
+        """Whether ``tick`` has anything to time out."""
         return (
             bool(self._openings)
             or self._lookups.has_pending
             or self._resolver.has_pending
+            or self._newer_replica is not None
+        )
+
+    def is_sentinel(self, now_ms: int) -> bool:
+        """Returns whether it checks often that the store still answers."""
+        return sentinels.is_sentinel(
+            self._address, self._peers_with_store, now_ms
         )
 
     def observe(self, boot_ms: int) -> None:
@@ -339,10 +365,13 @@
     def _announce_change(self) -> None:
         """Tells the watched agents and some peers what is in force now."""
         self.acknowledge_watched()
-        peers = list(self.peers)
-        for address in self._rng.sample(peers, min(GOSSIP_PEERS, len(peers))):
+        for address in self._choose_peers():
             self._send_revisions(address, is_reply=False)
 
+    def _choose_peers(self) -> list[messages.Address]:
+        peers = list(self.peers)
+        return self._rng.sample(peers, min(GOSSIP_PEERS, len(peers)))
+
     # Packets from callers.
 
     def on_packet(self, received: packet.Packet, now_ms: int) -> None:
@@ -1132,6 +1161,10 @@
         if sender not in self.peers:
             self.add_peer(sender, now_ms)
         self.peers[sender] = now_ms
+        if announced.has_store:
+            self._peers_with_store[sender] = now_ms
+        else:
+            self._peers_with_store.pop(sender, None)
         for address in announced.agents:
             self.add_agent(address, now_ms)
         if not announced.is_reply:
@@ -1161,10 +1194,25 @@
             return
         if not self._lacks(newer):
             return
-        if self._newer_replica is not None:
-            newer = newer._replace(since_ms=self._newer_replica.since_ms)
+        known = self._newer_replica
+        if self.is_ready and (known is None or known.is_older_than(newer)):
+            self._relay(announced)
+        if known is not None:
+            newer = newer._replace(
+                since_ms=known.since_ms, has_renewed=known.has_renewed
+            )
         self._newer_replica = newer
-        self._fetch_newer_replica(now_ms)
+        self._obtain_newer_replica(now_ms)
+
+    def _relay(self, announced: messages.Revisions) -> None:
+        """Passes on at once that a balancer has a newer configuration.
+
+        The store may have delivered it to that balancer alone.
+        """
+        onward = announced._replace(is_reply=True, number=0, agents=())
+        for address in self._choose_peers():
+            if address != announced.balancer:
+                self._actions.append(actions.SendDaemon(address, onward))
 
     def _lacks(self, newer: _NewerReplica) -> bool:
         """Returns whether a peer has state that this balancer lacks."""
@@ -1178,20 +1226,32 @@
             revision=newer.configuration_revision,
         )
 
-    def _fetch_newer_replica(self, now_ms: int) -> None:
-        """Fetches what a peer has announced if the store does not send it."""
+    def _obtain_newer_replica(self, now_ms: int) -> None:
+        """Obtains what a peer has announced if the store does not send it."""
         newer = self._newer_replica
         if newer is None:
             return
+        waited_ms = now_ms - newer.since_ms
         if not self._lacks(newer):
             self._newer_replica = None
         elif (
             not self.is_store_connected
-            or now_ms - newer.since_ms >= FETCH_GRACE_MS
+            or waited_ms >= FETCH_GRACE_MS
             or self._has_started_with_older(newer, now_ms)
         ):
             self._newer_replica = None
             self._fetch(newer.address)
+        elif waited_ms >= RENEW_GRACE_MS and not newer.has_renewed:
+            self._newer_replica = newer._replace(has_renewed=True)
+            self.counters["watches_renewed"] += 1
+            self._log(
+                "watches_renewed",
+                peer=newer.address.ip,
+                version=newer.configuration_version,
+                version_in_force=self.configuration.version,
+                waited_ms=waited_ms,
+            )
+            self._actions.append(actions.RenewWatches())
 
     def _fetch(self, replica: messages.Address) -> None:
         self.counters["replicas_fetched"] += 1
@@ -1249,6 +1309,7 @@
             configuration_version=self.configuration.version,
             is_settled=self.evacuations.is_settled,
             store_era=self.store_era,
+            has_store=self.is_store_connected,
         )
         self._actions.append(actions.SendDaemon(address, message))
 
@@ -1269,7 +1330,7 @@
             addresses.append(self._rng.choice(silent_peers))
         for address in addresses:
             self._send_revisions(address, is_reply=False)
-        self._fetch_newer_replica(now_ms)
+        self._obtain_newer_replica(now_ms)
         self._ask_late_agents(now_ms)
         added = self.watch.update(
             self.agents,
@@ -1338,6 +1399,7 @@
                 self._try_next_candidate(flow, opening, now_ms)
         self._apply_lookup_steps(now_ms, self._lookups.tick(now_ms))
         self._tick_resolver(now_ms)
+        self._obtain_newer_replica(now_ms)
 
     def sweep(self, now_ms: int) -> None:
         """Removes expired entries; to be called every second."""
@@ -1356,6 +1418,7 @@
         for address, last_heard_ms in list(self.peers.items()):
             if now_ms - last_heard_ms > FORGET_PEER_MS:
                 del self.peers[address]
+                self._peers_with_store.pop(address, None)
                 self._log("peer_forgotten", ip=address.ip)
         for address, until_ms in list(self._silent_resolvers.items()):
             if now_ms >= until_ms:
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -316,6 +316,7 @@
         configuration_version: Version of its configuration; 0 if unknown.
         is_settled: Whether ``evacuated`` is, see ``routes.Evacuations``.
         store_era: Newest era of the store that the sender has heard of.
+        has_store: Whether the store answers the sender.
     """
 
     balancer: Address
@@ -330,6 +331,7 @@
     configuration_version: int = 0
     is_settled: bool = True
     store_era: int = 0
+    has_store: bool = True
 
 
 Message = (
--- a/sapphirelift/core/l4/resolver.py
+++ b/sapphirelift/core/l4/resolver.py
@@ -13,6 +13,7 @@
 
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import sentinels
 
 # A balancer that knows fewer agents asks them itself.
 MIN_AGENTS = 32
@@ -82,12 +83,8 @@
             the same ones choose the same resolver.
     """
     count = max(len(balancers) // BALANCERS_PER_RESOLVER, 1)
-    ranked = sorted(
-        balancers,
-        key=lambda address: xxhash.xxh32_intdigest(address.ip.encode()),
-    )
     digest = xxhash.xxh32_intdigest(repr(tuple(flow)).encode())
-    return ranked[digest % count]
+    return sentinels.ranked(balancers)[digest % count]
 
 
 class Resolver:
--- a/sapphirelift/platform/store.py
+++ b/sapphirelift/platform/store.py
@@ -138,6 +138,10 @@
     """Raised in a waiting watch when the store has begun a new era."""
 
 
+class _RenewError(Exception):
+    """Raised in a waiting watch whose connection may have gone silent."""
+
+
 class Store:
     """Client of the store that limits the rate of its calls.
 
@@ -270,6 +274,8 @@
             )
         except _NewEraError:
             return None
+        except _RenewError:
+            return Changes(since, [])
         finally:
             self._watching.discard(waiting)
         # In a new era, the store may have given out ``since`` again, and
@@ -293,7 +299,17 @@
         """
         if era > max(self.era, self._announced_era):
             self._announced_era = era
-            self._end_watches()
+            self._end_watches(_NewEraError)
+
+    def renew_watches(self) -> None:
+        """Ends waiting watches, as if nothing had changed.
+
+        To be called if connections may have gone silent without an error. The
+        next calls use new ones.
+        """
+        if self._pool is not None:
+            self._pool.clear()
+        self._end_watches(_RenewError)
 
     def create(self, kind: str, name: str, value: Any) -> Object:
         """Creates an object.
@@ -471,11 +487,16 @@
                 ),
             )
             data = response.data
+        except urllib3.exceptions.ReadTimeoutError as error:
+            # What has silenced this connection has silenced others too.
+            self.renew_watches()
+            raise self._failure(call, type(error).__name__) from error
         except (urllib3.exceptions.HTTPError, ValueError, OSError) as error:
             raise self._failure(call, type(error).__name__) from error
         except eventlet.Timeout as error:
             if error is not call_timeout:
                 raise
+            self.renew_watches()
             raise self._failure(call, "no answer in time") from error
         finally:
             call_timeout.cancel()
@@ -500,16 +521,16 @@
         if era > self.era:
             self.restores += self._has_era
             self.era = era
-            self._end_watches()
+            self._end_watches(_NewEraError)
         self._has_era = True
         return era
 
-    def _end_watches(self) -> None:
+    def _end_watches(self, reason: type[Exception]) -> None:
         """Ends the watches that wait in other green threads."""
 
         def end(waiting: greenlet.greenlet) -> None:
             if waiting in self._watching:
-                waiting.throw(_NewEraError())
+                waiting.throw(reason())
 
         for waiting in self._watching - {greenlet.getcurrent()}:
             eventlet.hubs.get_hub().schedule_call_global(0, end, waiting)
--- a/sapphirelift/standins/packet_network.py
+++ b/sapphirelift/standins/packet_network.py
@@ -217,6 +217,8 @@
             packet.
         control_bytes: Total size of these messages.
         hops: Number of messages between daemons that carry a packet.
+        store_answer_ms: Time until a balancer that renews its watches has the
+            configuration.
     """
 
     def __init__(
@@ -232,6 +234,7 @@
         self.callers: dict[packet.FlowKey, flow_ends.CallerFlow] = {}
         self.configuration = configuration()
         self.evacuations = routes.Evacuations(1)
+        self.store_answer_ms = 10
         self.logs: list[actions.Log] = []
         self.resets: list[packet.FlowKey] = []
         self.control_messages = 0
@@ -313,6 +316,13 @@
             host.core.set_configuration(changed, self.now_ms, source="store")
             self.perform(host)
 
+    def read_configuration(self, host: BalancerHost) -> None:
+        """Lets the store deliver the configuration to one balancer."""
+        host.core.set_configuration(
+            self.configuration, self.now_ms, source="store"
+        )
+        self.perform(host)
+
     def evacuate(self, *data_centres: str) -> None:
         """Evacuates these data centres and no others."""
         revision = self.evacuations.revision + 1
@@ -459,6 +469,12 @@
                     self.call_later(
                         0, functools.partial(host.backend.receive, data)
                     )
+                case actions.RenewWatches():
+                    assert isinstance(host, BalancerHost)
+                    self.call_later(
+                        self.store_answer_ms,
+                        functools.partial(self.read_configuration, host),
+                    )
                 case actions.Log():
                     self.logs.append(action)
 
--- /dev/null
+++ b/tests/test_silent_store.py
@@ -0,0 +1,185 @@
+"""Connections to the store that go silent without an error."""
+
+import random
+from typing import Any
+
+import eventlet
+import pytest
+import urllib3
+
+from sapphirelift import _packet_balancer
+from sapphirelift import _store_follower
+from sapphirelift import decision_log
+from sapphirelift import errors
+from sapphirelift.core.l4 import balancer as balancer_module
+from sapphirelift.core.l4 import messages
+from sapphirelift.core.l4 import sentinels
+from sapphirelift.platform import store
+from sapphirelift.standins import packet_network
+
+# An instance counts as in touch this long after its connections went silent.
+CONTACT_MS = 4000
+EVACUATION_MS = 5000
+# Delay until a daemon tries again after a watch has failed.
+RETRY_MS = 200
+NOW_MS = 100_000
+
+
+def addresses(count: int) -> list[messages.Address]:
+    """Returns the addresses of some balancers."""
+    return [
+        messages.Address(f"10.1.{n // 250}.{n % 250 + 1}", 7720)
+        for n in range(count)
+    ]
+
+
+def silent_ms(wait_ms: int) -> float:
+    """Returns how long a silent connection stays unnoticed by a sentinel."""
+    return wait_ms + store.WATCH_MARGIN_S * 1000 + RETRY_MS
+
+
+class TestSentinels:
+    """Balancers that check often that the store still answers."""
+
+    # Guards against a number of calls that grows with the fleet, and against a
+    # fleet in which nobody notices the silence (review/2).
+    @pytest.mark.parametrize("count", [1, 2, 5, 59, 840])
+    def test_a_few_of_any_number(self, count: int) -> None:
+        """All balancers agree on the choice."""
+        known = addresses(count)
+        chosen = [
+            own
+            for own in known
+            if sentinels.is_sentinel(
+                own, {a: NOW_MS for a in known if a != own}, NOW_MS
+            )
+        ]
+        assert len(chosen) == min(count, sentinels.SENTINELS)
+
+    def test_a_stopped_one_is_replaced(self) -> None:
+        """Guards against a duty that stays with a balancer that has stopped."""
+        known = sentinels.ranked(addresses(5))
+        heard = dict.fromkeys(known[:2], NOW_MS) | dict.fromkeys(
+            known[3:], NOW_MS + sentinels.MIN_SILENT_MS
+        )
+        assert not sentinels.is_sentinel(known[2], heard, NOW_MS)
+        later_ms = NOW_MS + sentinels.MIN_SILENT_MS + 1
+        assert sentinels.is_sentinel(known[2], heard, later_ms)
+
+    def test_one_without_the_store_is_replaced(self) -> None:
+        """Guards against sentinels that the store turns away."""
+        net = packet_network.Network(1)
+        net.add_agent()
+        hosts = {net.add_balancer().address: None for _ in range(5)}
+        net.run(2000)
+        first = sentinels.ranked(hosts)[0]
+        net.balancers[first.ip].core.is_store_connected = False
+        net.run(3000)
+        chosen = [
+            host
+            for host in net.balancers.values()
+            if host.address != first and host.core.is_sentinel(net.now_ms)
+        ]
+        assert len(chosen) == sentinels.SENTINELS
+
+
+class TestWatch:
+    """Watches on connections that have gone silent."""
+
+    def test_sentinel_notices_in_time(self) -> None:
+        """Guards against bounds that even the first to notice cannot keep."""
+        slack_ms = balancer_module.RENEW_GRACE_MS + 500
+        configuration_ms = _packet_balancer.SENTINEL_CONFIGURATION_WAIT_MS
+        assert silent_ms(configuration_ms) + slack_ms <= CONTACT_MS
+        evacuations_ms = _packet_balancer.SENTINEL_EVACUATIONS_WAIT_MS
+        assert silent_ms(evacuations_ms) + slack_ms <= EVACUATION_MS
+
+    def test_duration_of_a_sentinel(self) -> None:
+        """Guards against a sentinel that waits as long as the others."""
+        waits_ms: list[int] = []
+        fake: Any = store.Store("http://127.0.0.1:1")
+        fake.list_kind = lambda kind: store.Listing(5, [])
+
+        def watch(kind: str, *, since: int, wait_ms: int) -> store.Changes:
+            waits_ms.append(wait_ms)
+            return store.Changes(since, [])
+
+        fake.watch = watch
+        follower = _store_follower.StoreFollower(
+            fake,
+            "config",
+            on_objects=lambda contents: None,
+            settle_ms=0,
+            balancers=lambda: 59,
+            sentinel_wait_ms=lambda: 1000 if len(waits_ms) else None,
+            log=decision_log.DecisionLog(name="test"),
+            rng=random.Random(1),
+        )
+        for _ in range(3):
+            follower._step()
+        assert waits_ms[0] > 10_000
+        assert waits_ms[1:] == [1000]
+
+    @pytest.mark.parametrize("is_told", [False, True])
+    def test_all_watches_begin_again(self, is_told: bool) -> None:
+        """Guards against idle and waiting connections that are silent too."""
+        client = store.Store("http://127.0.0.1:1", calls_per_s=1000)
+        pool = _SilentPool()
+        client._pool = pool
+        waiting = eventlet.spawn(
+            client.watch, "config", since=5, wait_ms=60_000
+        )
+        eventlet.sleep(0.01)
+        if is_told:
+            client.renew_watches()
+        else:
+            with pytest.raises(errors.PlatformUnavailableError):
+                client.get("config", "main")
+        with eventlet.Timeout(2):
+            assert waiting.wait() == store.Changes(5, [])
+        assert pool.clears == 1
+
+
+class _SilentPool:
+    """Connection pool on which watches wait, and other calls time out."""
+
+    def __init__(self) -> None:
+        self.headers: dict[str, str] = {}
+        self.clears = 0
+
+    def request(self, method: str, url: str, **options: Any) -> None:
+        """Waits, or times out at once."""
+        del method, options
+        if "Watch=" in url:
+            eventlet.sleep(60)
+        raise urllib3.exceptions.ReadTimeoutError(None, url, "silent")  # type: ignore[arg-type]
+
+    def clear(self) -> None:
+        """Counts that the connections have been dropped."""
+        self.clears += 1
+
+
+class TestSpread:
+    """A configuration that one balancer alone has read."""
+
+    @pytest.mark.parametrize("count", [2, 5, 20, 59])
+    def test_all_have_it_in_time(self, count: int) -> None:
+        """Guards against balancers that trust a silent watch (review/2)."""
+        net = packet_network.Network(count)
+        net.add_agent()
+        for _ in range(count):
+            net.add_balancer()
+        net.run(3000)
+        net.configuration = packet_network.configuration(2)
+        first = next(
+            host
+            for host in net.balancers.values()
+            if host.core.is_sentinel(net.now_ms)
+        )
+        net.read_configuration(first)
+        noticed_ms = silent_ms(_packet_balancer.SENTINEL_CONFIGURATION_WAIT_MS)
+        net.run(round(CONTACT_MS - noticed_ms))
+        versions = [
+            h.core.configuration.version for h in net.balancers.values()
+        ]
+        assert versions == [2] * count
