Refuse reports that do not come from the server beside the agent

Cause: a report of another writer, without `Address`, was taken for a new start of the server beside the agent. The decoder read neither `Address` nor `Version`, and a missing `born` counted as 0; nothing compared the report with what the settings say of the only server that may send one. Its later `born` then made the living server's own reports look old.

A report now needs all its fields, each of its type and within its range, and the address, service and data centre of the settings. Others are answered with 400, counted and logged at most once a second, and change nothing.

--- a/sapphirelift/_packet_agent.py
+++ b/sapphirelift/_packet_agent.py
@@ -18,9 +18,12 @@
 from sapphirelift.peers import datagrams
 from sapphirelift.platform import dispatch
 from sapphirelift.platform import http
+from sapphirelift.platform import reports
 
 # Lets the balancers receive the announcement before the process exits.
 LINGER_S = 0.1
+# Refused reports are logged at most once within this time.
+REFUSAL_LOG_INTERVAL_MS = 1000
 
 
 class PacketAgentNode(_packet_node.PacketNode):
@@ -50,6 +53,7 @@
             is_first_start=settings.is_first_start,
             now_ms=clock.now_ms(),
         )
+        self._refusal_logged_ms = -REFUSAL_LOG_INTERVAL_MS
         self._backend_address = deployment.address(settings.backend)
         self._outbound_socket = datagrams.DatagramSocket(
             deployment.address(settings.outbound),
@@ -62,6 +66,11 @@
         )
         self._reports = http.ReportServer(
             deployment.address(settings.reports),
+            subject=reports.Subject(
+                self._backend_address,
+                settings.service,
+                settings.data_centre,
+            ),
             on_report=self._on_report,
             on_end=self._on_end,
             on_refused=self._on_refused,
@@ -155,7 +164,14 @@
 
     def _on_refused(self, reason: str) -> None:
         self.core.counters["reports_refused"] += 1
-        self.log.write("report_refused", reason=reason)
+        now_ms = clock.now_ms()
+        if now_ms - self._refusal_logged_ms >= REFUSAL_LOG_INTERVAL_MS:
+            self._refusal_logged_ms = now_ms
+            self.log.write(
+                "report_refused",
+                reason=reason,
+                count=self.core.counters["reports_refused"],
+            )
 
     # Balancers.
 
--- a/sapphirelift/platform/http.py
+++ b/sapphirelift/platform/http.py
@@ -76,11 +76,13 @@
         self,
         address: tuple[str, int],
         *,
+        subject: reports.Subject,
         on_report: Callable[[backend.Report], None],
         on_end: Callable[[str], None],
         on_refused: Callable[[str], None],
     ) -> None:
         super().__init__(address, "reports")
+        self._subject = subject
         self._on_report = on_report
         self._on_end = on_end
         self._on_refused = on_refused
@@ -116,7 +118,9 @@
             return "413 Content Too Large"
         body = environ["wsgi.input"].read(length)
         try:
-            self._on_report(reports.decode(backend_id, body))
+            self._on_report(
+                reports.decode(backend_id, body, subject=self._subject)
+            )
         except errors.ReportError as error:
             self._on_refused(str(error))
             return "400 Bad Request"
--- a/sapphirelift/platform/reports.py
+++ b/sapphirelift/platform/reports.py
@@ -1,49 +1,84 @@
-"""Decoder of the reports that backend servers send to their agent."""
+"""Decoder of the reports that backend servers send to their agent.
+
+Other writers may send reports too. One that lacks a field, or that names
+another address, service or data centre than those of the backend server beside
+the agent, describes no backend server that the agent could use.
+"""
+
+from typing import Annotated
+from typing import NamedTuple
 
 import msgspec
 
+from sapphirelift import deployment
 from sapphirelift import errors
 from sapphirelift.core.l4 import backend
+from sapphirelift.core.l4 import messages
 
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
+# Largest integer that all JSON decoders represent exactly.
+_MAX_INTEGER = (1 << 53) - 1
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
+_Positive = Annotated[int, msgspec.Meta(ge=1, le=_MAX_INTEGER)]
+
+
+class Subject(NamedTuple):
+    """The backend server whose reports an agent takes.
+
+    Attributes:
+        address: Address at which it receives packets.
+        service: Its service.
+        data_centre: Data centre of its instance.
+    """
+
+    address: messages.Address
+    service: str
+    data_centre: str
 
 
 class _Body(msgspec.Struct):
     """A report in its JSON format."""
 
     service: str = msgspec.field(name="Service")
+    address: str = msgspec.field(name="Address")
     zone: str = msgspec.field(name="Zone")
-    slots: int = msgspec.field(name="MaxConcurrency")
+    # Version of the server's software; not used.
+    version: str = msgspec.field(name="Version")
+    slots: _Positive = msgspec.field(name="MaxConcurrency")
     state: str = msgspec.field(name="State")
     # Counts the reports since the backend server started; numbers of
     # different starts are not comparable.
-    sequence: int = msgspec.field(name="Sequence")
+    sequence: _Count = msgspec.field(name="Sequence")
     # Remaining time of the cold phase, not the time elapsed.
-    cold_ms: float = msgspec.field(name="WarmupRemainingMs", default=0)
+    cold_ms: Annotated[float, msgspec.Meta(ge=0, le=_MAX_INTEGER)] = (
+        msgspec.field(name="WarmupRemainingMs")
+    )
     # Start of the backend server in Unix milliseconds, by its own wall clock,
     # which may jump.
-    born: int = 0
+    born: _Positive
 
 
-def decode(backend_id: str, body: bytes) -> backend.Report:
+def decode(backend_id: str, body: bytes, *, subject: Subject) -> backend.Report:
     """Decodes a report.
 
     Args:
         backend_id: Name of the backend server, from the path of the request.
         body: Body of the request, as JSON.
+        subject: The backend server that may report.
 
     Raises:
-        ReportError: The report is malformed or does not identify a backend
-            server.
+        ReportError: The report is malformed, or not one of the subject.
     """
     try:
         decoded = msgspec.json.decode(body, type=_Body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        address = deployment.address(decoded.address)
+    except (msgspec.MsgspecError, ValueError) as error:
         raise errors.ReportError(str(error)) from error
-    if not backend_id or not decoded.service or decoded.slots < 1:
-        raise errors.ReportError(
-            "name or service is empty, or concurrency is below 1"
-        )
+    if not backend_id:
+        raise errors.ReportError("the backend server has no name")
+    reported = Subject(address, decoded.service, decoded.zone)
+    if reported != subject:
+        raise errors.ReportError(f"of another backend server: {reported}")
     if decoded.state not in _IS_DRAINING_BY_STATE:
         raise errors.ReportError(f"unknown state {decoded.state!r}")
     return backend.Report(
@@ -54,5 +89,5 @@
         data_centre=decoded.zone,
         slots=decoded.slots,
         is_draining=_IS_DRAINING_BY_STATE[decoded.state],
-        cold_ms=max(int(decoded.cold_ms), 0),
+        cold_ms=int(decoded.cold_ms),
     )
--- a/tests/test_l4_adapter.py
+++ b/tests/test_l4_adapter.py
@@ -6,6 +6,7 @@
 
 from sapphirelift import deployment
 from sapphirelift import errors
+from sapphirelift.core.l4 import backend
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import routes
@@ -40,6 +41,12 @@
 }
 
 
+def decode_report(body: bytes) -> backend.Report:
+    """Decodes a report at the agent of the server that ``REPORT`` names."""
+    subject = reports.Subject(messages.Address("10.1.0.9", 80), "shop", "a")
+    return reports.decode("i-1", body, subject=subject)
+
+
 class TestPackets:
     """Encoding and decoding of packets."""
 
@@ -82,7 +89,7 @@
 
     def test_report(self) -> None:
         """Guards against fields that are mistaken for one another."""
-        report = reports.decode("i-1", json.dumps(REPORT).encode())
+        report = decode_report(json.dumps(REPORT).encode())
         assert report.backend_id == "i-1"
         assert (report.number, report.slots, report.cold_ms) == (4, 4, 1500)
         assert not report.is_draining
@@ -97,19 +104,43 @@
             {"Sequence": 1.5},
             {"Service": ""},
             {"born": "yesterday"},
+            {"born": 1.5},
+            {"born": 0},
+            {"born": 10**30},
+            {"Sequence": -1},
+            {"Sequence": 10**30},
+            {"MaxConcurrency": 10**30},
+            {"WarmupRemainingMs": -1},
+            {"WarmupRemainingMs": 1e300},
+            {"Version": 1},
+            {"Service": "other"},
+            {"Zone": "b"},
+            {"Address": "10.1.0.9:81"},
+            {"Address": "10.1.0.9:99999"},
+            {"Address": "host:80"},
+            {"Address": None},
         ],
         ids=str,
     )
     def test_invalid_report_is_refused(self, change: dict[str, object]) -> None:
         """Guards against an invalid report attributed to a backend server."""
         with pytest.raises(errors.ReportError):
-            reports.decode("i-1", json.dumps(REPORT | change).encode())
+            decode_report(json.dumps(REPORT | change).encode())
+
+    # Guards against a report of another writer that is taken for a new start
+    # of the backend server, whose flows are then reset (review/4).
+    @pytest.mark.parametrize("field", list(REPORT))
+    def test_report_without_a_field_is_refused(self, field: str) -> None:
+        """Each field is needed to tell whose report it is, or its state."""
+        body = {name: REPORT[name] for name in REPORT if name != field}
+        with pytest.raises(errors.ReportError):
+            decode_report(json.dumps(body).encode())
 
     def test_unreadable_bytes(self) -> None:
         """Guards against errors of the JSON decoder that are not converted."""
         for body in (b"", b"\xff\xfe", b"[]", b"{"):
             with pytest.raises(errors.ReportError):
-                reports.decode("i-1", body)
+                decode_report(body)
 
 
 class TestConfiguration:
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -1,5 +1,6 @@
 """Malformed answers of the store, of peers and of operators' settings."""
 
+import io
 import json
 import random
 from typing import Any
@@ -17,11 +18,14 @@
 from sapphirelift import messages as product_messages
 from sapphirelift import wire
 from sapphirelift.callers import client
+from sapphirelift.core.l4 import backend
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.membership import membership
 from sapphirelift.platform import client as client_module
 from sapphirelift.platform import http
+from sapphirelift.platform import reports
 from sapphirelift.platform import store
+from sapphirelift.standins import packet_writers
 from tests import processes
 
 GARBAGE: dict[str, Any] = {"meta": {"Name": "b"}, "spec": 1}
@@ -279,6 +283,67 @@
         ]
 
 
+SUBJECT = reports.Subject(messages.Address("10.2.0.1", 80), "shop", "a")
+
+
+class TestForeignReport:
+    """Reports of other writers at the agent of a backend server."""
+
+    SOUND = packet_writers.report(
+        ip="10.2.0.1", port=80, number=1, born_ms=1_700_000_000_000
+    )
+
+    def put(self, server: http.ReportServer, body: dict[str, Any]) -> str:
+        """Sends a report and returns the status of the answer."""
+        data = json.dumps(body).encode()
+        statuses: list[str] = []
+        environ = {
+            "PATH_INFO": "/v1/instances/i-1",
+            "REQUEST_METHOD": "PUT",
+            "CONTENT_LENGTH": str(len(data)),
+            "wsgi.input": io.BytesIO(data),
+        }
+        server.answer(environ, lambda status, _: statuses.append(status))
+        return statuses[0]
+
+    # Guards against open flows that a report without an address resets, and
+    # against a living server whose own reports are refused from then on
+    # (review/4).
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"Address": None},
+            {"Address": "10.2.0.2:80"},
+            {"Service": "label"},
+            {"Zone": "b"},
+            {"born": None},
+            {"Version": None},
+        ],
+        ids=str,
+    )
+    def test_describes_no_backend_server(self, change: dict[str, Any]) -> None:
+        """Only the server beside the agent can report."""
+        taken: list[backend.Report] = []
+        refused: list[str] = []
+        server = http.ReportServer(
+            ("127.0.0.1", 0),
+            subject=SUBJECT,
+            on_report=taken.append,
+            on_end=lambda backend_id: None,
+            on_refused=refused.append,
+        )
+        later = {"born": self.SOUND["born"] + 1000}
+        foreign = {
+            name: value
+            for name, value in (self.SOUND | later | change).items()
+            if value is not None
+        }
+        assert self.put(server, foreign) == "400 Bad Request"
+        assert (taken, len(refused)) == ([], 1)
+        assert self.put(server, self.SOUND) == "200 OK"
+        assert len(taken) == 1
+
+
 class TestReportLength:
     """Reports whose length is not a number."""
 
@@ -288,6 +353,7 @@
         refused: list[str] = []
         server = http.ReportServer(
             ("127.0.0.1", 0),
+            subject=SUBJECT,
             on_report=lambda report: None,
             on_end=lambda backend_id: None,
             on_refused=refused.append,
