Let an unreadable item of the store cost itself alone

Operators saw that with one item nested some thousand levels deep in a list, the machines that follow the list stopped following it for good; after a loss of power no balancer became ready.

Cause: a page was decoded by a recursive decoder before its items were told apart. Its RecursionError was caught nowhere, so the task failed, started again and read the same list. The decoder also refuses the whole page for NaN and Infinity, for half of a surrogate pair and for control characters, and it accepts integers that messages to other daemons cannot carry.

A page that cannot be decoded is now split into its items without reading them, and each item is decoded alone (platform/decoding.py). Of one that cannot be read, the name and revision are read separately; it counts as an item without a value, which every reader refuses, is counted (sapphirelift_store_items_skipped_total) and logged at a limited rate. A deletion of such an item takes effect. Depth and integers of all values are bounded where both programs read the store. Names of evacuations are bounded to what fits into a message. Reports, replica pages and entries of the directory are decoded in the same place.

Evidence: tests/test_odd_items.py, 12 odd values at 7 places in both programs, and processes whose store serves such an item raw in each list (the stand-in cannot keep one). On the code before, that test ends without a ready balancer; after, the daemon follows the next change, and no task has failed.

Weighed: a larger recursion limit (an item of 1 MB could still be deeper than the stack allows). A streaming JSON library, a further dependency, was not tried.

--- a/sapphirelift/_directory.py
+++ b/sapphirelift/_directory.py
@@ -19,6 +19,7 @@
 from sapphirelift.core import revisions
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.requests import backoff
+from sapphirelift.platform import decoding
 from sapphirelift.platform import store as store_module
 
 KIND = "sapphirelift-daemons"
@@ -221,10 +222,10 @@
         entries: list[Entry] = []
         for item in listing.objects:
             try:
-                entry = msgspec.convert(item.value, Entry)
+                entry: Entry = decoding.convert(item.value, Entry)
                 # A host name would cause a DNS lookup for each datagram.
                 ipaddress.IPv4Address(entry.ip)
-            except (msgspec.ValidationError, ValueError):
+            except (errors.UnreadableError, ValueError):
                 self.skipped += 1
             else:
                 entries.append(entry)
--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -1,5 +1,6 @@
 """Packet daemon in the role of a balancer."""
 
+from collections.abc import Collection
 from typing import Any
 
 import eventlet
@@ -19,6 +20,7 @@
 from sapphirelift.core.l4 import routes
 from sapphirelift.peers import datagrams
 from sapphirelift.platform import configuration
+from sapphirelift.platform import decoding
 from sapphirelift.platform import dispatch
 from sapphirelift.platform import http
 from sapphirelift.platform import packets
@@ -39,6 +41,11 @@
 LINGER_S = 2.5
 
 
+# Names of evacuations travel in messages of at most 8 KB between balancers.
+MAX_DATA_CENTRE_BYTES = 100
+MAX_EVACUATIONS = 50
+
+
 class _ReplicaConfiguration(msgspec.Struct):
     revision: int
     value: Any
@@ -67,6 +74,7 @@
         )
         self._replica_state: dict[str, Any] = {}
         self._is_fetching = False
+        self._evacuations_skipped = 0
         # Until it knows others.
         self._is_sentinel = True
         self._refused_revision = 0
@@ -159,6 +167,7 @@
             "evacuations_revision": self.core.evacuations.revision,
             "evacuated": sorted(self.core.evacuations.data_centres),
             "peers": len(self.core.peers),
+            "evacuations_skipped": self._evacuations_skipped,
             "watched_agents": len(self.core.watch),
             "is_sentinel": self._is_sentinel,
             "agents": {
@@ -258,13 +267,31 @@
         self.core.set_evacuations(
             routes.Evacuations(
                 contents.revision,
-                frozenset(contents.objects),
+                self._evacuated(contents.objects),
                 contents.is_settled,
             ),
             source=STORE,
         )
         self.perform()
 
+    def _evacuated(self, names: Collection[str]) -> frozenset[str]:
+        """Returns the names of evacuations that can be those of data centres.
+
+        Other writers may have left entries too. All must fit into a message.
+        """
+        usable = [
+            n for n in names if 0 < len(n.encode()) <= MAX_DATA_CENTRE_BYTES
+        ]
+        if len(usable) > MAX_EVACUATIONS:
+            known = {a.heartbeat.data_centre for a in self.core.agents}
+            known.add(self.settings.data_centre)
+            usable = [name for name in usable if name in known]
+        skipped = len(names) - len(usable)
+        if skipped != self._evacuations_skipped:
+            self._evacuations_skipped = skipped
+            self.log.write("evacuations_skipped", count=skipped)
+        return frozenset(usable[:MAX_EVACUATIONS])
+
     def _replica_page(self) -> dict[str, Any]:
         agents = self.core.known_agents() if self.core.has_directory else []
         return self._replica_state | {
@@ -284,12 +311,14 @@
             )
             if response.status != 200:
                 raise errors.FetchError(f"status {response.status}")
-            fetched = msgspec.json.decode(response.data, type=_Replica)
+            fetched: _Replica = decoding.decode(response.data, _Replica)
+            if fetched.configuration is not None:
+                decoding.check_bounds(fetched.configuration.value)
         except (
             urllib3.exceptions.HTTPError,
             OSError,
-            ValueError,
             errors.FetchError,
+            errors.UnreadableError,
         ) as error:
             self.log.write(
                 "replica_not_fetched",
--- a/sapphirelift/_packet_node.py
+++ b/sapphirelift/_packet_node.py
@@ -81,13 +81,16 @@
         self.rng = random.Random(self.incarnation)
         self.log = decision_log.DecisionLog(name=settings.name)
         self.store = store_module.Store(
-            f"http://{settings.platform}", name=settings.name
+            f"http://{settings.platform}",
+            name=settings.name,
+            on_skipped=self._on_item_skipped,
         )
         self.drops: dict[str, int] = {}
         self._sent_datagrams: collections.Counter[str] = collections.Counter()
         self._sent_bytes: collections.Counter[str] = collections.Counter()
         self._received: collections.Counter[str] = collections.Counter()
         self._drop_logged_ms: dict[str, int] = {}
+        self._skip_logged_ms: dict[str, int] = {}
         self._caller_port = deployment.address(settings.packets).port
         self._is_ticking = False
         self._histograms = latency.LatencyHistograms()
@@ -202,6 +205,7 @@
             "platform_failures": dict(self.store.failures),
             "store_era": self.store.era,
             "store_restores": self.store.restores,
+            "store_items_skipped": self.store.skipped,
             "log_lines_dropped": self.log.dropped,
             "task_failures": dict(tasks.failures),
         }
@@ -220,6 +224,19 @@
                 count=self.drops[reason],
             )
 
+    def _on_item_skipped(self, kind: str, reason: str) -> None:
+        """Logs an unreadable item of the store at a limited rate."""
+        now_ms = clock.now_ms()
+        logged_ms = self._skip_logged_ms.get(kind)
+        if logged_ms is None or now_ms - logged_ms > DROP_LOG_INTERVAL_MS:
+            self._skip_logged_ms[kind] = now_ms
+            self.log.write(
+                "store_item_skipped",
+                kind=kind,
+                reason=reason,
+                count=self.store.skipped,
+            )
+
     def _on_daemon_datagram(self, data: bytes, source: tuple[str, int]) -> None:
         self.observe_clock()
         try:
--- a/sapphirelift/_record_sync.py
+++ b/sapphirelift/_record_sync.py
@@ -26,6 +26,8 @@
 # With the margin that the client adds, an unanswered watch is retried after
 # 3 s. 840 watching balancers make 420 reads/s; the platform takes 2,000.
 WATCH_WAIT_MS = 2000
+# Unreadable objects of the store are logged at most once within this time.
+SKIP_LOG_INTERVAL_MS = 10_000
 # Consecutive answers at a lower revision after which the platform's store is
 # assumed to have been restarted; a lagging read gives fewer of them.
 REVERTED_READS = 5
@@ -81,7 +83,9 @@
             name=settings.name,
             rng=rng,
             credentials=settings.platform_credentials,
+            on_skipped=self._on_item_skipped,
         )
+        self._skip_logged_ms = -SKIP_LOG_INTERVAL_MS
         self._key = bytes.fromhex(settings.cluster_key_hex)
         self.server = records.RecordServer(
             settings.peer.address,
@@ -128,6 +132,18 @@
             "record_counters": dict(self.counters),
         }
 
+    def _on_item_skipped(self, kind: str, reason: str) -> None:
+        self.counters["items_skipped"] += 1
+        now_ms = clock.now_ms()
+        if now_ms - self._skip_logged_ms >= SKIP_LOG_INTERVAL_MS:
+            self._skip_logged_ms = now_ms
+            eliot.log_message(
+                "platform_item_skipped",
+                kind=kind,
+                reason=reason,
+                count=self.counters["items_skipped"],
+            )
+
     def _follow(self) -> None:
         """Follows the platform; an agent stops once it knows a balancer.
 
--- a/sapphirelift/errors.py
+++ b/sapphirelift/errors.py
@@ -51,6 +51,16 @@
         self.reason = reason
 
 
+class UnreadableError(SapphireliftError):
+    """JSON of another writer is malformed, or nothing that could be used."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(
+            f"unreadable: {message}",
+            remedy="find out who has written it; it is left out",
+        )
+
+
 class ReportError(SapphireliftError):
     """A report of a backend server is invalid."""
 
--- a/sapphirelift/operators/metrics.py
+++ b/sapphirelift/operators/metrics.py
@@ -27,6 +27,10 @@
         "cold_restarts",
         "Times that the ramp of the backend server has restarted.",
     ),
+    "store_items_skipped": (
+        "store_items_skipped",
+        "Items of the platform's store that could not be read.",
+    ),
     "store_restores": (
         "store_restores",
         "Times that the platform's store has returned from an older copy.",
--- a/sapphirelift/platform/client.py
+++ b/sapphirelift/platform/client.py
@@ -68,6 +68,7 @@
         rng: random.Random | None = None,
         calls_per_s: float = CALLS_PER_S,
         credentials: credentials_module.PlatformCredentials | None = None,
+        on_skipped: store_module.OnSkipped = lambda kind, reason: None,
     ) -> None:
         self._rng = rng or random.Random()
         self.store = store_module.Store(
@@ -75,6 +76,7 @@
             name=name,
             calls_per_s=calls_per_s,
             credentials=credentials,
+            on_skipped=on_skipped,
         )
 
     @property
--- a/sapphirelift/platform/configuration.py
+++ b/sapphirelift/platform/configuration.py
@@ -1,11 +1,13 @@
 """Decoder of the operators' configuration; names of their store objects."""
 
+from typing import Annotated
 from typing import Any
 
 import msgspec
 
 from sapphirelift import errors
 from sapphirelift.core.l4 import routes
+from sapphirelift.platform import decoding
 from sapphirelift.platform import packets
 
 # Kinds and name of the objects that operators write to the store.
@@ -14,6 +16,10 @@
 EVACUATION_KIND = "evacuations"
 
 
+# In milliseconds; a year at the most.
+_Duration = Annotated[float, msgspec.Meta(ge=0, le=365 * 86_400_000)]
+
+
 class _Share(msgspec.Struct):
     service: str = msgspec.field(name="Service")
     weight: float = msgspec.field(name="Weight", default=0.0)
@@ -32,8 +38,8 @@
     allowed_regions: list[str] = msgspec.field(
         name="AllowedRegions", default_factory=list
     )
-    aim_ms: float = msgspec.field(name="AimMs", default=0)
-    timeout_ms: float = msgspec.field(name="TimeoutMs", default=0)
+    aim_ms: _Duration = msgspec.field(name="AimMs", default=0)
+    timeout_ms: _Duration = msgspec.field(name="TimeoutMs", default=0)
 
 
 class _Service(msgspec.Struct):
@@ -45,7 +51,9 @@
 
 class _Limits(msgspec.Struct):
     # The other limits apply to requests, which packet daemons do not see.
-    idle_timeout_ms: float = msgspec.field(name="IdleTimeoutMs", default=15_000)
+    idle_timeout_ms: _Duration = msgspec.field(
+        name="IdleTimeoutMs", default=15_000
+    )
 
 
 class _Body(msgspec.Struct):
@@ -69,9 +77,9 @@
             be parsed, or a route has no service.
     """
     try:
-        body = msgspec.convert(value, _Body)
+        body: _Body = decoding.convert(value, _Body)
         decoded_routes = [_route(route) for route in body.routes]
-    except (msgspec.MsgspecError, ValueError, OSError) as error:
+    except (errors.UnreadableError, ValueError, OSError) as error:
         raise errors.ConfigurationError(str(error)) from error
     return routes.Configuration(
         revision=revision,
--- a/sapphirelift/platform/reports.py
+++ b/sapphirelift/platform/reports.py
@@ -14,6 +14,7 @@
 from sapphirelift import errors
 from sapphirelift.core.l4 import backend
 from sapphirelift.core.l4 import messages
+from sapphirelift.platform import decoding
 
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 # Largest integer that all JSON decoders represent exactly.
@@ -70,9 +71,9 @@
         ReportError: The report is malformed, or not one of the subject.
     """
     try:
-        decoded = msgspec.json.decode(body, type=_Body)
+        decoded: _Body = decoding.decode(body, _Body)
         address = deployment.address(decoded.address)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (errors.UnreadableError, ValueError) as error:
         raise errors.ReportError(str(error)) from error
     if not backend_id:
         raise errors.ReportError("the backend server has no name")
--- a/sapphirelift/platform/store.py
+++ b/sapphirelift/platform/store.py
@@ -6,6 +6,7 @@
 
 import collections
 import urllib.parse
+from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
 
@@ -19,6 +20,7 @@
 from sapphirelift import errors
 from sapphirelift.core import revisions
 from sapphirelift.core.requests import rate_limit
+from sapphirelift.platform import decoding
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 3.0
@@ -101,10 +103,6 @@
     name: str = msgspec.field(name="Name")
 
 
-class _Named(msgspec.Struct):
-    meta: _NamedMeta
-
-
 class _Listing(msgspec.Struct):
     # The revision of the whole store, not that of the newest item.
     revision: int = msgspec.field(name="CurrentRev")
@@ -119,7 +117,11 @@
 
 class _Events(msgspec.Struct):
     revision: int = msgspec.field(name="CurrentRev")
-    events: list[_Event] = msgspec.field(default_factory=list)
+    events: list[msgspec.Raw] = msgspec.field(default_factory=list)
+
+
+# Name of the list in each kind of page.
+_ITEMS: dict[type[Any], str] = {_Listing: "items", _Events: "events"}
 
 
 class Answer(NamedTuple):
@@ -134,6 +136,9 @@
     era: int
 
 
+OnSkipped = Callable[[str, str], None]
+
+
 class _NewEraError(Exception):
     """Raised in a waiting watch when the store has begun a new era."""
 
@@ -148,7 +153,8 @@
     Attributes:
         calls: Number of calls by kind of call; a watch counts as one call.
         failures: Number of calls without a usable answer, by kind of call.
-        skipped: Number of items that could not be decoded as objects.
+        skipped: Number of items that could not be read. Of those whose name
+            and revision can, the value is taken as None.
         era: Newest era seen in an answer; ``revisions.FIRST_ERA`` before the
             first one.
         restores: Number of times that the era has grown since the first
@@ -162,7 +168,19 @@
         name: str = "client",
         calls_per_s: float = CALLS_PER_S,
         credentials: credentials_module.PlatformCredentials | None = None,
+        on_skipped: OnSkipped = lambda kind, reason: None,
     ) -> None:
+        """Creates a client; the first call connects.
+
+        Args:
+            base_url: Address of the store.
+            name: Name of the daemon, sent with each call.
+            calls_per_s: Limit of the rate of calls.
+            credentials: How to prove the daemon's identity; None if the store
+                does not ask.
+            on_skipped: Called with the kind of an item that could not be
+                read, and the reason.
+        """
         self._base_url = base_url.rstrip("/")
         self._rate_limit = rate_limit.TokenBucket(
             rate_per_s=calls_per_s, burst=BURST_CALLS
@@ -171,6 +189,7 @@
             credentials or credentials_module.PlatformCredentials()
         )
         self._name = name
+        self._on_skipped = on_skipped
         self._pool: Any = None
         self.calls: collections.Counter[str] = collections.Counter()
         self.failures: collections.Counter[str] = collections.Counter()
@@ -193,9 +212,9 @@
             PlatformUnavailableError: There was no usable answer.
         """
         answer = self._call(call, "GET", _path(kind, name))
-        return (
-            None if answer.status == 404 else self._decode_object(call, answer)
-        )
+        if answer.status == 404:
+            return None
+        return self._decode_answer(call, kind, answer)
 
     def list_kind(self, kind: str, *, allow_stale: bool = False) -> Listing:
         """Returns all objects of a kind.
@@ -217,7 +236,7 @@
             if allow_stale:
                 query["AllowStale"] = 1
             answer = self._call("list", "GET", _path(kind), query=query)
-            page: _Listing = self._decode("list", answer, _Listing)
+            page: _Listing = self._decode_page("list", answer, _Listing)
             # The revision of the first page holds for the whole list: changes
             # between two pages are missing from the earlier page.
             if revision is None:
@@ -225,11 +244,13 @@
                 revision = self._qualify("list", page.revision, answer)
             elif era != answer.era:
                 raise self._failure("list", "pages of two eras")
-            found = self._decode_objects(page.items, answer)
-            objects.update((item.name, item) for item in found)
+            for raw in page.items:
+                item = self._decode_item(kind, bytes(raw), answer)
+                if item is not None:
+                    objects[item.name] = item
             if not page.has_more:
                 return Listing(revision, list(objects.values()))
-            last = self._last_name(page.items)
+            last = _last_name(page.items)
             if last is None or last == after:
                 raise self._failure("list", "a page without a name to go on")
             after = last
@@ -282,13 +303,13 @@
         # answers with changes of another history.
         if answer.status == 410 or answer.era != revisions.era_of(since):
             return None
-        events = self._decode("watch", answer, _Events)
+        events: _Events = self._decode_page("watch", answer, _Events)
         changes: list[Change] = []
-        for event in events.events:
-            changes.extend(
-                Change(item, event.deleted)
-                for item in self._decode_objects([event.object], answer)
-            )
+        for raw in events.events:
+            event = _split_event(bytes(raw))
+            item = self._decode_item(kind, bytes(event.object), answer)
+            if item is not None:
+                changes.append(Change(item, event.deleted))
         revision = self._qualify("watch", events.revision, answer)
         return Changes(revision, changes)
 
@@ -394,45 +415,51 @@
             raise errors.ConflictError(f"{kind}/{name}", 0)
         if answer.status == 409:
             raise self._conflict(kind, name, answer)
-        return self._decode_object(call, answer)
+        return self._decode_answer(call, kind, answer)
 
     def _conflict(
         self, kind: str, name: str, answer: Answer
     ) -> errors.ConflictError:
-        found = self._decode_objects([msgspec.Raw(answer.data)], answer)
-        revision = found[0].revision if found else 0
+        found = self._decode_item(kind, answer.data, answer)
+        revision = found.revision if found is not None else 0
         return errors.ConflictError(f"{kind}/{name}", revision)
 
-    def _decode_objects(
-        self, items: list[msgspec.Raw], answer: Answer
-    ) -> list[Object]:
-        """Decodes objects; skips malformed items of other writers."""
-        found: list[Object] = []
-        for item in items:
-            try:
-                decoded = msgspec.json.decode(item, type=_Object)
-            except (msgspec.MsgspecError, UnicodeDecodeError):
-                self.skipped += 1
-                continue
-            if 0 <= decoded.meta.revision <= revisions.MAX_STORE_REVISION:
-                found.append(_new_object(decoded, answer.era))
-            else:
-                self.skipped += 1
-        return found
-
-    def _last_name(self, items: list[msgspec.Raw]) -> str | None:
-        """Returns the name of the last item, malformed otherwise or not."""
-        for item in reversed(items):
+    def _decode_item(
+        self, kind: str, data: bytes, answer: Answer
+    ) -> Object | None:
+        """Decodes an object, of which other writers may be the authors.
+
+        Returns:
+            None if its name or revision cannot be read; without a value if
+            only that cannot.
+        """
+        try:
+            decoded = decoding.decode(data, _Object)
+            decoding.check_bounds(decoded.spec)
+        except errors.UnreadableError as error:
+            self._skip(kind, error)
             try:
-                return msgspec.json.decode(item, type=_Named).meta.name
-            except (msgspec.MsgspecError, UnicodeDecodeError):
-                continue
+                meta = decoding.members(data).get("meta", b"")
+                decoded = _Object(decoding.decode(meta, _Meta))
+            except errors.UnreadableError:
+                return None
+        if 0 <= decoded.meta.revision <= revisions.MAX_STORE_REVISION:
+            return _new_object(decoded, answer.era)
+        self._skip(
+            kind, errors.UnreadableError(f"revision {decoded.meta.revision}")
+        )
         return None
 
-    def _decode_object(self, call: str, answer: Answer) -> Object:
-        decoded = self._decode(call, answer, _Object)
-        revision = self._qualify(call, decoded.meta.revision, answer)
-        return Object(decoded.meta.name, revision, decoded.spec)
+    def _skip(self, kind: str, reason: errors.UnreadableError) -> None:
+        self.skipped += 1
+        self._on_skipped(kind, str(reason))
+
+    def _decode_answer(self, call: str, kind: str, answer: Answer) -> Object:
+        """Decodes an answer that consists of one object."""
+        decoded = self._decode_item(kind, answer.data, answer)
+        if decoded is None:
+            raise self._failure(call, "unreadable answer")
+        return decoded
 
     def _qualify(self, call: str, store_revision: int, answer: Answer) -> int:
         """Returns a revision with the era of the answer that contains it."""
@@ -440,11 +467,24 @@
             raise self._failure(call, f"revision {store_revision}")
         return revisions.of_store(store_revision, era=answer.era)
 
-    def _decode(self, call: str, answer: Answer, kind: type[Any]) -> Any:
+    def _decode_page(self, call: str, answer: Answer, kind: type[Any]) -> Any:
+        """Decodes a page of items, which themselves are not decoded."""
+        try:
+            return decoding.decode(answer.data, kind)
+        except errors.UnreadableError:
+            # An item cannot even be told from the others by the decoder.
+            found = dict(decoding.members(answer.data))
         try:
-            return msgspec.json.decode(answer.data, type=kind)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            items = decoding.elements(found.pop(_ITEMS[kind], b""))
+            rest = b",".join(
+                b'"%b":%b' % (name.encode(), value)
+                for name, value in found.items()
+            )
+            page = decoding.decode(b"{%b}" % rest, kind)
+        except errors.UnreadableError as error:
             raise self._failure(call, "unreadable answer") from error
+        setattr(page, _ITEMS[kind], [msgspec.Raw(item) for item in items])
+        return page
 
     def _call(
         self,
@@ -564,6 +604,29 @@
         return errors.PlatformUnavailableError(f"platform: {call}: {reason}")
 
 
+def _split_event(data: bytes) -> _Event:
+    """Returns the parts of an event, of which the object is not decoded."""
+    try:
+        return decoding.decode(data, _Event)
+    except errors.UnreadableError:
+        found = decoding.members(data)
+        return _Event(
+            msgspec.Raw(found.get("Object", b"")),
+            found.get("Deleted") == b"true",
+        )
+
+
+def _last_name(items: list[msgspec.Raw]) -> str | None:
+    """Returns the name of the last item, malformed otherwise or not."""
+    for item in reversed(items):
+        meta = decoding.members(bytes(item)).get("meta", b"")
+        try:
+            return decoding.decode(meta, _NamedMeta).name
+        except errors.UnreadableError:
+            continue
+    return None
+
+
 def _new_object(decoded: _Object, era: int) -> Object:
     revision = revisions.of_store(decoded.meta.revision, era=era)
     return Object(decoded.meta.name, revision, decoded.spec)
