Own a flow that the backend server accepts while its opening is held

Cause: an agent that has no answer within 105 ms passes an opening on, and holds a copy that comes back. The server's answer to the first packet then went to the caller, but moved only flows in phase OPENING, so the agent gave the open flow up with the held opening, or sent the opening again. A balancer that searched later found no owner.

The answer now moves a held flow to ACCEPTED as well: it is owned, and not held any more.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -338,16 +338,21 @@
         flow.initial_sequence = received.sequence
         flow.accepted_ms = now_ms
         self.flows.touch(received.flow, flow, now_ms)
-        if flow.phase is _Phase.OPENING:
+        if not flow.phase.is_owned:
+            # A held opening was sent to the backend server before, passed on
+            # to other agents and offered here again.
+            was_held = flow.phase is _Phase.HELD
+            since_ms = flow.held_ms if was_held else flow.sent_ms
             self.flows.move(received.flow, flow, _Phase.ACCEPTED)
             self.counters["flows_accepted"] += 1
-            self.samples.add("backend_accept", now_ms - flow.sent_ms)
+            self.samples.add("backend_accept", now_ms - since_ms)
             self._log(
                 "flow_accepted",
                 flow=str(received.flow),
                 flows=self.flows.open_flows,
                 busy=self._active_requests,
-                waited_ms=now_ms - flow.sent_ms,
+                waited_ms=now_ms - since_ms,
+                was_held=was_held,
             )
             self._send_opened(received.flow, flow)
         self._actions.append(actions.SendCaller(received))
--- a/tests/test_l4_bounded_state.py
+++ b/tests/test_l4_bounded_state.py
@@ -111,6 +111,46 @@
         assert core.dump(NOW_MS)["busy"] == 0
 
 
+class TestLateAcceptance:
+    """A backend server that accepts a flow after its opening was passed on."""
+
+    # Guards against an open flow that the agent gives up as a held opening, so
+    # that a balancer finds no owner and resets it (review/3).
+    @pytest.mark.parametrize("later_ms", [1, agent_module.MAX_HOLD_MS + 1])
+    def test_held_opening_is_accepted(self, later_ms: int) -> None:
+        """The opening comes back and is held while the answer is under way."""
+        core = new_agent()
+        offer(core, 1, NOW_MS, others=(OTHER_AGENT,))
+        now_ms = NOW_MS + agent_module.ACCEPT_MS
+        core.tick(now_ms)
+        assert core.flows.get(flow_of_port(1)) is None
+        core._active_requests = 100
+        offer(core, 1, now_ms)
+        assert len(core.flows.held()) == 1
+        accepted = flow_ends.from_backend(
+            flow_of_port(1), flow_ends.SYN | flow_ends.ACK, sequence=77
+        )
+        core.on_backend_packet(packets.decode_from_backend(accepted), now_ms)
+        core.drain_actions()
+        core._active_requests = 0
+        core.tick(now_ms + later_ms)
+        assert core.flows.get(flow_of_port(1)) is not None
+        assert not core.flows.held()
+        kinds = [type(action) for action in core.drain_actions()]
+        assert actions.SendBackend not in kinds
+        core.on_ask(messages.Ask(flow_of_port(1)), BALANCER, now_ms + later_ms)
+        sent = [
+            action.message
+            for action in core.drain_actions()
+            if isinstance(action, actions.SendDaemon)
+        ]
+        assert [
+            message.verdict
+            for message in sent
+            if isinstance(message, messages.Answer)
+        ] == [messages.OWNS]
+
+
 class TestColdReservations:
     """The openings that a backend server counts for its cold rate."""
 
