Tell two flows from the same port apart

Cause: a flow is known by its addresses and ports. A balancer that remembers the former owner, or a search that finds it first, sends packets of the new flow to an agent whose server still answers for the former one, for 10 s after its end or until it is idle.

An agent now returns packets whose acknowledgement number cannot follow the caller's last one (76,800 bytes, four times what may be in flight), and says of a flow that it has ended there. Searches take such an agent only if no other owns the flow.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -629,11 +629,14 @@
         """Handles a non-opening packet of a flow."""
         key = received.flow
         flow = self.flows.get(key)
+        if flow is not None and not flow.can_include(received):
+            self.counters["packets_of_another_flow"] += 1
+            self._return_packet(deliver)
+            return
         if flow is None:
             if self._has_full_table:
                 self.counters["packets_missed"] += 1
-                missed = messages.Missed(self.identity.address, deliver.data)
-                self._send(deliver.balancer, missed)
+                self._return_packet(deliver)
                 return
             self.counters["packets_probed"] += 1
             flow = flow_table.Flow(
@@ -677,16 +680,23 @@
         if received.is_reset or received.acknowledged == first_byte:
             return True
         self.counters["opened_elsewhere"] += 1
+        self._return_packet(deliver)
+        return False
+
+    def _return_packet(self, deliver: messages.Deliver) -> None:
+        """Returns a packet of a flow that this agent does not own."""
         missed = messages.Missed(self.identity.address, deliver.data)
         self._send(deliver.balancer, missed)
-        return False
 
     def on_ask(
         self, ask: messages.Ask, sender: messages.Address, now_ms: int
     ) -> None:
         """Answers a balancer whether this agent owns a flow."""
-        if self._owns(ask.flow):
+        phase = self._phase_of(ask.flow)
+        if phase is not None and phase.is_live:
             verdict = messages.OWNS
+        elif phase is _Phase.ENDED:
+            verdict = messages.ENDED
         elif self._has_full_table:
             verdict = messages.OWNS_NOT
         else:
@@ -694,15 +704,18 @@
         answer = messages.Answer(ask.flow, self.identity.address, verdict)
         self._send(sender, answer)
 
-    def _owns(self, key: packet.FlowKey) -> bool:
+    def _phase_of(self, key: packet.FlowKey) -> _Phase | None:
         flow = self.flows.get(key)
-        return flow is not None and flow.phase.is_owned
+        return flow.phase if flow is not None else None
 
     def on_ask_many(self, ask: messages.AskMany) -> None:
         """Answers a balancer which of several flows this agent owns."""
-        owned = tuple(filter(self._owns, ask.flows))
+        phases = {key: self._phase_of(key) for key in ask.flows}
         answer = messages.AnswerMany(
-            self.identity.address, owned, self._has_full_table
+            self.identity.address,
+            tuple(key for key, p in phases.items() if p and p.is_live),
+            self._has_full_table,
+            tuple(key for key, p in phases.items() if p is _Phase.ENDED),
         )
         self._send(ask.balancer, answer)
 
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -16,6 +16,9 @@
 ENDED_MS = 10_000
 # Added to the idle timeout to allow for packets in transit.
 IDLE_MARGIN_MS = 5000
+# Greatest distance between two acknowledgement numbers of a caller that follow
+# each other: four times the 16 packets of 1,200 bytes that may be in flight.
+MAX_ACKNOWLEDGED_STEP = 76_800
 # How long an accepted flow is expected to bring a request. The caller's first
 # packet arrives one round trip (6 ms) after the acceptance; after several round
 # trips it may never arrive.
@@ -42,6 +45,11 @@
         """Whether the backend server has accepted the flow, open or ended."""
         return self not in (Phase.HELD, Phase.OPENING)
 
+    @property
+    def is_live(self) -> bool:
+        """Whether the backend server has accepted the flow and not ended it."""
+        return self in (Phase.ACCEPTED, Phase.OPEN)
+
 
 @dataclasses.dataclass(slots=True)
 class Flow:
@@ -63,7 +71,7 @@
         accepted_ms: When the backend server accepted the flow, or when the
             agent first forwarded a packet of a flow unknown to it.
         caller_acknowledged: Last acknowledgement number of the caller, used
-            as the sequence number of a reset.
+            as the sequence number of a reset; 0 before the first one.
         request_ms: When the request in progress began, None if there is none.
     """
 
@@ -80,6 +88,16 @@
     caller_acknowledged: int = 0
     request_ms: int | None = None
 
+    def can_include(self, received: packet.Packet) -> bool:
+        """Returns whether a packet of the caller can belong to this flow.
+
+        Another flow from the same port has other sequence numbers.
+        """
+        if not (self.caller_acknowledged and received.is_ack):
+            return True
+        ahead = (received.acknowledged - self.caller_acknowledged) % (1 << 32)
+        return min(ahead, (1 << 32) - ahead) <= MAX_ACKNOWLEDGED_STEP
+
     def is_opened_by(self, received: packet.Packet, now_ms: int) -> bool:
         """Returns whether an opening packet is a copy of this flow's one."""
         return received.repeats_opening(
--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -112,6 +112,8 @@
         can_resolve: Whether a resolver may be asked after the first wave.
         is_resolving: Whether the search waits for a resolver.
         resolver: The resolver that was asked, None if none has been.
+        ended_at: Agent at which the flow has ended, None if none has said so.
+            It owns the flow unless another agent has one of the same port.
     """
 
     packets: collections.deque[packet.Packet]
@@ -131,6 +133,7 @@
     can_resolve: bool = False
     is_resolving: bool = False
     resolver: messages.Address | None = None
+    ended_at: messages.Address | None = None
 
 
 class Lookups:
@@ -220,6 +223,8 @@
             case messages.MAY_OWN:
                 # The agents that may own it have to be probed one by one.
                 return self._advance(resolved.flow, now_ms)
+        if search.ended_at is not None:
+            return self._end_at(resolved.flow, search.ended_at, now_ms)
         del self._lookups[resolved.flow]
         # The resolver has asked every agent, the first wave included.
         is_certain = resolved.verdict == messages.OWNS_NOT
@@ -248,6 +253,8 @@
         search.awaiting_answer.discard(answer.agent)
         if answer.verdict == messages.MAY_OWN:
             search.possible_owners.append(answer.agent)
+        elif answer.verdict == messages.ENDED:
+            search.ended_at = answer.agent
         return self._advance(answer.flow, now_ms)
 
     def on_missed(
@@ -294,6 +301,14 @@
                 steps.extend(self._advance(flow, now_ms))
         return steps
 
+    def _end_at(
+        self, flow: packet.FlowKey, agent: messages.Address, now_ms: int
+    ) -> list[Step]:
+        """Ends the search at the agent at which the flow has ended."""
+        search = self._lookups.pop(flow)
+        took_ms = now_ms - search.started_ms
+        return [Found(flow, agent, list(search.packets), took_ms)]
+
     def _advance(self, flow: packet.FlowKey, now_ms: int) -> list[Step]:
         search = self._lookups[flow]
         if search.awaiting_answer:
@@ -318,6 +333,8 @@
             search.probed_agent = search.possible_owners[0]
             search.asked_ms = now_ms
             return [Probe(search.probed_agent, search.packets[-1])]
+        if search.ended_at is not None:
+            return self._end_at(flow, search.ended_at, now_ms)
         del self._lookups[flow]
         return [
             NoOwner(
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -137,6 +137,9 @@
 # The flow is not in the agent's table, but the table may be incomplete: it does
 # not reach back to the start of the backend server.
 MAY_OWN = "may_own"
+# The flow has ended at the agent, which answers late packets of it. The caller
+# may have opened another one from the same port, at another agent.
+ENDED = "ended"
 
 
 # Some agents did not answer, or not all agents are known.
@@ -157,11 +160,13 @@
         agent: The sender.
         owned: Those of the flows that it owns.
         has_full_table: Whether it owns none of the others for certain.
+        ended: Those of the flows that have ended there.
     """
 
     agent: Address
     owned: tuple[packet.FlowKey, ...]
     has_full_table: bool
+    ended: tuple[packet.FlowKey, ...] = ()
 
 
 class Resolve(NamedTuple):
--- a/sapphirelift/core/l4/resolver.py
+++ b/sapphirelift/core/l4/resolver.py
@@ -63,6 +63,7 @@
         awaited: Agents that have not answered.
         knows_all_agents: Whether all agents were known at the beginning.
         may_own: Whether an agent with an incomplete table may own any flow.
+        ended_at: Agents at which some of the flows have ended.
     """
 
     flows: dict[packet.FlowKey, set[messages.Address]]
@@ -70,6 +71,9 @@
     awaited: set[messages.Address]
     knows_all_agents: bool
     may_own: bool = False
+    ended_at: dict[packet.FlowKey, messages.Address] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def choose(
@@ -149,6 +153,7 @@
             return []
         current.awaited.discard(answer.agent)
         current.may_own = current.may_own or not answer.has_full_table
+        current.ended_at |= dict.fromkeys(answer.ended, answer.agent)
         steps: list[Step] = []
         for flow in answer.owned:
             for balancer in current.flows.pop(flow, ()):
@@ -176,8 +181,11 @@
         else:
             verdict = messages.OWNS_NOT
         nobody = messages.Address("", 0)
-        return [
-            Reply(balancer, messages.Resolved(flow, nobody, verdict))
-            for flow, balancers in current.flows.items()
-            for balancer in balancers
-        ]
+        steps: list[Step] = []
+        for flow, balancers in current.flows.items():
+            outcome = messages.Resolved(flow, nobody, verdict)
+            ended_at = current.ended_at.get(flow)
+            if ended_at is not None and not current.may_own:
+                outcome = messages.Resolved(flow, ended_at, messages.OWNS)
+            steps.extend(Reply(balancer, outcome) for balancer in balancers)
+        return steps
--- a/sapphirelift/standins/flow_ends.py
+++ b/sapphirelift/standins/flow_ends.py
@@ -147,6 +147,7 @@
         self._queued: collections.deque[packet.FlowKey] = collections.deque()
         self._call_later = call_later
         self._flows: dict[packet.FlowKey, _FlowEntry] = {}
+        self._ended: set[packet.FlowKey] = set()
 
     def holds(self, flow: packet.FlowKey) -> bool:
         """Returns whether this server is alive and has a flow open."""
@@ -161,6 +162,8 @@
         entry = self._flows.get(received.flow)
         if received.is_syn:
             self._on_syn(received, entry)
+        elif received.flow in self._ended:
+            self._on_late_packet(received)
         elif entry is None:
             count = self.stray_packets.get(received.flow, 0)
             self.stray_packets[received.flow] = count + 1
@@ -170,6 +173,18 @@
         else:
             self._on_packet(received, entry)
 
+    def _on_late_packet(self, received: packet.Packet) -> None:
+        """Answers a packet of a flow that has ended here."""
+        if received.is_fin:
+            flags = ACK
+        elif received.payload_bytes:
+            flags = RST
+        else:
+            return
+        self._send(
+            from_backend(received.flow, flags, sequence=received.acknowledged)
+        )
+
     def _on_syn(
         self, received: packet.Packet, entry: _FlowEntry | None
     ) -> None:
@@ -180,6 +195,7 @@
         if entry is None or entry.expected != expected:
             entry = _FlowEntry(self._rng.getrandbits(32), expected)
             self._flows[received.flow] = entry
+            self._ended.discard(received.flow)
         self._send_packet(received.flow, entry, SYN | ACK)
 
     def _on_packet(self, received: packet.Packet, entry: _FlowEntry) -> None:
@@ -192,6 +208,7 @@
         if received.is_fin:
             self._send_packet(received.flow, entry, FIN | ACK)
             del self._flows[received.flow]
+            self._ended.add(received.flow)
         elif received.payload_bytes and received.sequence == entry.expected:
             entry.expected = _advance(entry.expected, received.payload_bytes)
             count = self.requests.get(received.flow, 0)
--- a/tests/test_l4_reuse.py
+++ b/tests/test_l4_reuse.py
@@ -96,6 +96,48 @@
         label = net.agents["10.2.0.4"].backend
         assert set(label.requests) == {flow.flow for flow in flows}
 
+    # Guards against a new flow that the former flow's owner resets: it has
+    # ended there, and packets reach a balancer that remembers it, or one that
+    # searches.
+    @pytest.mark.parametrize("balancer", ["10.1.0.1", "10.1.0.9"])
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_port_used_again_at_once(self, seed: int, balancer: str) -> None:
+        """Packets go to the owner of the flow that is open."""
+        net = network(seed)
+        net.rotation[:] = ["10.1.0.1"]
+        flows = open_from(net, self.PORTS)
+        request_and_close(net, flows)
+        net.rotation[:] = ["10.1.0.2"]
+        flows = open_from(net, self.PORTS)
+        assert [flow.answers for flow in flows] == [1] * FLOWS
+        net.add_balancer("10.1.0.9")
+        net.run(500)
+        net.rotation[:] = [balancer]
+        for flow in flows:
+            flow.request()
+        net.run(2000)
+        assert [flow.state for flow in flows] == ["open"] * FLOWS
+        assert [flow.answers for flow in flows] == [2] * FLOWS
+        assert not any(net.stray_packets(flow.flow) for flow in flows)
+
+    # Guards against packets of a flow that go to a server which still holds a
+    # former one, because its caller has vanished without closing it.
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_former_flow_that_was_never_closed(self, seed: int) -> None:
+        """Sequence numbers tell two flows of the same port apart."""
+        net = network(seed)
+        net.rotation[:] = ["10.1.0.1"]
+        open_from(net, self.PORTS)
+        net.rotation[:] = ["10.1.0.2"]
+        flows = open_from(net, self.PORTS)
+        for ip in ("10.1.0.1", "10.1.0.2"):
+            net.rotation[:] = [ip]
+            for flow in flows:
+                flow.request()
+            net.run(2000)
+        assert [flow.state for flow in flows] == ["open"] * FLOWS
+        assert [flow.answers for flow in flows] == [3] * FLOWS
+
     # Guards against a new flow that is taken for a copy of a former opening.
     def test_sequence_number_may_be_used_again(self) -> None:
         """Copies of an opening packet come soon after it, or not at all."""
