Believe a start whose clock was set back once the former one is silent

Cause: incarnations and start times follow wall clocks, and their order decided for good which start is the later one.

The order of two incarnations now counts for 2 s after the newest one was heard, in which messages can overtake each other. A report with an earlier start time is taken once the server in force has been silent for three intervals and the other has reported twice. A late message alone still changes nothing.

--- a/sapphirelift/core/l4/agents.py
+++ b/sapphirelift/core/l4/agents.py
@@ -37,6 +37,10 @@
 # Silent agents are forgotten after this time. Their flows may live for up to
 # 60 s by the platform's bounds, so balancers send them hellos until then.
 FORGET_AFTER_MS = 60_000
+# Incarnations follow the wall clock of an instance, which may be set back, and
+# another instance may take over an address. So the order of two incarnations
+# counts only for as long as a message of the former one can be under way.
+OVERTAKEN_MS = 2000
 # The design size is 7,000 agents.
 MAX_AGENTS = 10_000
 
@@ -47,7 +51,8 @@
 
     Attributes:
         heartbeat: Newest heartbeat.
-        last_heard_ms: When the newest heartbeat was received.
+        last_heard_ms: When the newest sign of life was received.
+        heartbeat_ms: When the newest heartbeat was received.
         flows: Most recently reported number of open flows.
         opens_since: Number of unanswered opening packets sent since the
             newest heartbeat.
@@ -61,6 +66,7 @@
 
     heartbeat: messages.Heartbeat
     last_heard_ms: int
+    heartbeat_ms: int
     flows: int = 0
     opens_since: int = 0
     unanswered_ms: int | None = None
@@ -162,6 +168,17 @@
         )
 
 
+def is_outdated(incarnation: int, *, newest: int, newest_age_ms: int) -> bool:
+    """Returns whether a message is of an earlier start than the newest one.
+
+    Args:
+        incarnation: Incarnation that the message names.
+        newest: Incarnation that was heard last at the address.
+        newest_age_ms: Time since then.
+    """
+    return incarnation < newest and newest_age_ms <= OVERTAKEN_MS
+
+
 class Agents:
     """Table of the agents from which heartbeats have been received."""
 
@@ -203,20 +220,25 @@
         known = self._by_address.get(heartbeat.address)
         if known is None:
             if len(self._by_address) < MAX_AGENTS:
-                self._add(KnownAgent(heartbeat, now_ms, heartbeat.flows))
+                self._add_new(heartbeat, now_ms)
             return None
         newest = known.heartbeat
-        if (heartbeat.incarnation, heartbeat.number) <= (
-            newest.incarnation,
-            newest.number,
+        if heartbeat.incarnation == newest.incarnation:
+            if heartbeat.number <= newest.number:
+                return known
+        elif is_outdated(
+            heartbeat.incarnation,
+            newest=newest.incarnation,
+            newest_age_ms=now_ms - known.heartbeat_ms,
         ):
             return known
         previous = dataclasses.replace(known)
         if heartbeat.service != newest.service:
             self.remove(heartbeat.address)
-            self._add(KnownAgent(heartbeat, now_ms, heartbeat.flows))
+            self._add_new(heartbeat, now_ms)
             return previous
         known.heartbeat = heartbeat
+        known.heartbeat_ms = now_ms
         known.flows = heartbeat.flows
         known.opens_since = 0
         known.on_heard(now_ms)
@@ -237,7 +259,8 @@
             self.remove(agent.address)
         return silent
 
-    def _add(self, agent: KnownAgent) -> None:
+    def _add_new(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
+        agent = KnownAgent(heartbeat, now_ms, now_ms, heartbeat.flows)
         self._by_address[agent.address] = agent
         service = agent.heartbeat.service
         self._by_service.setdefault(service, {})[agent.address] = agent
--- a/sapphirelift/core/l4/backend.py
+++ b/sapphirelift/core/l4/backend.py
@@ -55,6 +55,8 @@
         self.last_heard_ms = 0
         self.has_departed = False
         self._cold_until_ms = 0
+        # Newest report with an earlier start time than the report in force.
+        self._earlier: Report | None = None
         self._open_times_ms: collections.deque[int] = collections.deque()
 
     def set_report_interval(self, interval_ms: int) -> None:
@@ -70,7 +72,9 @@
         """
         newest = self.report
         if newest is not None:
-            if report.born_ms < newest.born_ms:
+            if report.born_ms < newest.born_ms and not (
+                self._has_started_again(report, now_ms)
+            ):
                 return False
             if (report.backend_id, report.born_ms) == (
                 newest.backend_id,
@@ -78,11 +82,27 @@
             ) and (self.has_departed or report.number <= newest.number):
                 return False
         self.report = report
+        self._earlier = None
         self.last_heard_ms = now_ms
         self.has_departed = False
         self._cold_until_ms = now_ms + report.cold_ms
         return True
 
+    def _has_started_again(self, report: Report, now_ms: int) -> bool:
+        """Returns whether a report with an earlier start time is of a new one.
+
+        The wall clock may have been set back between two starts. A late
+        report of a former start comes alone, or while the newer one reports.
+        """
+        earlier, self._earlier = self._earlier, report
+        return (
+            now_ms - self.last_heard_ms > self._silent_after_ms
+            and earlier is not None
+            and (earlier.backend_id, earlier.born_ms)
+            == (report.backend_id, report.born_ms)
+            and earlier.number < report.number
+        )
+
     def end(self, backend_id: str) -> bool:
         """Marks a backend server as gone.
 
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -969,7 +969,13 @@
             return
         departed = self._departed_agents.get(heartbeat.address)
         if departed is not None:
-            if heartbeat.incarnation <= departed.incarnation:
+            if heartbeat.incarnation == departed.incarnation or (
+                agents.is_outdated(
+                    heartbeat.incarnation,
+                    newest=departed.incarnation,
+                    newest_age_ms=now_ms - departed.since_ms,
+                )
+            ):
                 self.counters["heartbeats_overtaken"] += 1
                 return
             del self._departed_agents[heartbeat.address]
@@ -1021,9 +1027,10 @@
             heartbeat.incarnation, now_ms
         )
         known = self.agents.get(heartbeat.address)
-        if (
-            known is not None
-            and known.heartbeat.incarnation <= heartbeat.incarnation
+        if known is not None and not agents.is_outdated(
+            heartbeat.incarnation,
+            newest=known.heartbeat.incarnation,
+            newest_age_ms=now_ms - known.heartbeat_ms,
         ):
             self.agents.remove(heartbeat.address)
             self.watch.invalidate()
--- a/tests/test_l4_reuse.py
+++ b/tests/test_l4_reuse.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from sapphirelift.core.l4 import agents
 from sapphirelift.core.l4 import packet
 from sapphirelift.standins import flow_ends
 from sapphirelift.standins import packet_network
@@ -159,3 +160,67 @@
                 and found.caller_sequence == 77
             ]
             assert service in owners
+
+
+class TestClockSetBack:
+    """Starts whose wall clock is behind that of the start before."""
+
+    # Guards against an agent that balancers ignore for a minute.
+    @pytest.mark.parametrize("is_replaced", [False, True])
+    def test_agent_is_known_again(self, is_replaced: bool) -> None:
+        """The order of two starts counts while messages are under way."""
+        net = packet_network.Network(1)
+        host = net.add_agent()
+        net.add_balancer()
+        net.run(1000)
+        if is_replaced:
+            host.agent.on_end(f"{host.name}-1", net.now_ms)
+            host.agent.leave(net.now_ms)
+            net.perform(host)
+        else:
+            host.stop_agent()
+        net.run(500)
+        net._incarnation -= 1000
+        if is_replaced:
+            net.replace_agent(host, service="shop")
+        else:
+            host.start_agent()
+        net.run(agents.OVERTAKEN_MS + 1000)
+        flow = net.open_flow()
+        net.run(500)
+        assert flow.state == "open"
+
+    # Guards against late messages of a former start that count as news.
+    def test_late_heartbeat_is_ignored(self) -> None:
+        """A newer start that is heard stays in force."""
+        net = packet_network.Network(1)
+        host = net.add_agent()
+        core = net.add_balancer().core
+        net.run(1000)
+        late = host.agent.heartbeat(net.now_ms)
+        host.stop_agent()
+        host.start_agent()
+        net.run(agents.OVERTAKEN_MS // 2)
+        core.on_message(late, net.now_ms)
+        (known,) = core.agents
+        assert known.heartbeat.incarnation > late.incarnation
+
+    # Guards against a backend server that gets no flows after its start.
+    def test_backend_server_is_known_again(self) -> None:
+        """Its own reports end the silence of the former start."""
+        net = packet_network.Network(1)
+        host = net.add_agent()
+        net.add_balancer()
+        net.run(1000)
+        former = host.agent.backend.report
+        host.start_backend()
+        host.born_ms -= 60_000
+        net.run(6 * packet_network.REPORT_INTERVAL_MS)
+        flow = net.open_flow()
+        net.run(500)
+        assert flow.state == "open"
+        # A report of the former start that arrives late describes nobody.
+        assert former is not None
+        assert not host.agent.backend.update_from_report(
+            former._replace(born_ms=host.born_ms - 1, number=99), net.now_ms
+        )
