Let a living backend server outlive a report that shuts it out

Cause: the order of reports decided for good, so that one wrong number could not be recovered from.

Outdated reports that go on, with growing numbers, after the newest one has been silent for three intervals now count. Late reports come alone, or while newer ones do.

--- a/sapphirelift/core/l4/backend.py
+++ b/sapphirelift/core/l4/backend.py
@@ -55,7 +55,7 @@
         self.last_heard_ms = 0
         self.has_departed = False
         self._cold_until_ms = 0
-        # Newest report with an earlier start time than the report in force.
+        # Last outdated report.
         self._earlier: Report | None = None
         self._open_times_ms: collections.deque[int] = collections.deque()
 
@@ -68,19 +68,13 @@
 
         Returns:
             False for an outdated report: from an earlier start, older than
-            the newest report, or received after the server has left.
+            the newest report, or received after the server has left; unless
+            such reports go on while there are no others.
         """
-        newest = self.report
-        if newest is not None:
-            if report.born_ms < newest.born_ms and not (
-                self._has_started_again(report, now_ms)
-            ):
-                return False
-            if (report.backend_id, report.born_ms) == (
-                newest.backend_id,
-                newest.born_ms,
-            ) and (self.has_departed or report.number <= newest.number):
-                return False
+        if self._is_outdated(report) and not (
+            self._outlives_newest(report, now_ms)
+        ):
+            return False
         self.report = report
         self._earlier = None
         self.last_heard_ms = now_ms
@@ -88,11 +82,23 @@
         self._cold_until_ms = now_ms + report.cold_ms
         return True
 
-    def _has_started_again(self, report: Report, now_ms: int) -> bool:
-        """Returns whether a report with an earlier start time is of a new one.
+    def _is_outdated(self, report: Report) -> bool:
+        newest = self.report
+        if newest is None or report.born_ms > newest.born_ms:
+            return False
+        is_same_start = (report.backend_id, report.born_ms) == (
+            newest.backend_id,
+            newest.born_ms,
+        )
+        if is_same_start:
+            return self.has_departed or report.number <= newest.number
+        return report.born_ms < newest.born_ms
+
+    def _outlives_newest(self, report: Report, now_ms: int) -> bool:
+        """Returns whether outdated reports go on after the newest one.
 
-        The wall clock may have been set back between two starts. A late
-        report of a former start comes alone, or while the newer one reports.
+        Then the newest one was wrong, or the wall clock has been set back
+        between two starts. A late report comes alone, or while newer ones do.
         """
         earlier, self._earlier = self._earlier, report
         return (
--- a/tests/test_l4_reuse.py
+++ b/tests/test_l4_reuse.py
@@ -205,6 +205,27 @@
         (known,) = core.agents
         assert known.heartbeat.incarnation > late.incarnation
 
+    # Guards against a living server that one report or notice of leaving with
+    # its name shuts out for good.
+    @pytest.mark.parametrize("change", ["number", "born_ms", "end"])
+    def test_living_server_outlives_a_wrong_report(self, change: str) -> None:
+        """Its own reports go on, and the wrong one stays alone."""
+        net = packet_network.Network(1)
+        host = net.add_agent()
+        net.add_balancer()
+        net.run(1000)
+        newest = host.agent.backend.report
+        assert newest is not None
+        if change == "end":
+            host.agent.on_end(newest.backend_id, net.now_ms)
+        else:
+            wrong = newest._replace(**{change: 1 << 50})
+            host.agent.on_report(wrong, net.now_ms)
+        net.run(6 * packet_network.REPORT_INTERVAL_MS)
+        flow = net.open_flow()
+        net.run(500)
+        assert flow.state == "open"
+
     # Guards against a backend server that gets no flows after its start.
     def test_backend_server_is_known_again(self) -> None:
         """Its own reports end the silence of the former start."""
