Number the rounds of joint searches

An agent's answer that was late for one round counted as its answer to the next one, about flows that it had not been asked about then.

Questions now carry the number of the round and answers repeat it; others are counted (resolver_answers_late) and ignored.

Evidence: test_late_answer_is_not_one_of_the_next_round. Without the comparison of the numbers, the late denial ends the second round.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -716,6 +716,7 @@
             tuple(key for key, p in phases.items() if p and p.is_live),
             self._has_full_table,
             tuple(key for key, p in phases.items() if p is _Phase.ENDED),
+            ask.number,
         )
         self._send(ask.balancer, answer)
 
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -756,9 +756,9 @@
     ) -> None:
         for step in steps:
             match step:
-                case resolver.AskAgent(address, flows):
+                case resolver.AskAgent(address, flows, number):
                     self._record_question(address, now_ms)
-                    ask = messages.AskMany(self._address, flows)
+                    ask = messages.AskMany(self._address, flows, number)
                     self._actions.append(actions.SendDaemon(address, ask))
                 case resolver.Reply(balancer, outcome):
                     if balancer == self._address:
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -147,10 +147,15 @@
 
 
 class AskMany(NamedTuple):
-    """Asks an agent which of several flows it owns."""
+    """Asks an agent which of several flows it owns.
+
+    Attributes:
+        number: Number of the question, which the answer repeats.
+    """
 
     balancer: Address
     flows: tuple[packet.FlowKey, ...]
+    number: int = 0
 
 
 class AnswerMany(NamedTuple):
@@ -161,12 +166,14 @@
         owned: Those of the flows that it owns.
         has_full_table: Whether it owns none of the others for certain.
         ended: Those of the flows that have ended there.
+        number: Number of the question.
     """
 
     agent: Address
     owned: tuple[packet.FlowKey, ...]
     has_full_table: bool
     ended: tuple[packet.FlowKey, ...] = ()
+    number: int = 0
 
 
 class Resolve(NamedTuple):
--- a/sapphirelift/core/l4/resolver.py
+++ b/sapphirelift/core/l4/resolver.py
@@ -36,10 +36,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskAgent:
-    """Asks an agent about all flows of the round."""
+    """Asks an agent about all flows of the round.
+
+    Attributes:
+        number: Number of the round.
+    """
 
     address: messages.Address
     flows: tuple[packet.FlowKey, ...]
+    number: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,6 +104,7 @@
         self._pending: dict[packet.FlowKey, set[messages.Address]] = {}
         self._round: _Round | None = None
         self._began_ms = 0
+        self._number = 0
 
     @property
     def has_pending(self) -> bool:
@@ -140,15 +146,20 @@
         self._counters["resolver_rounds"] += 1
         self._counters["resolver_flows"] += len(flows)
         self._began_ms = now_ms
+        self._number += 1
         self._round = _Round(flows, now_ms, set(agents), knows_all_agents)
         asked: list[Step] = [
-            AskAgent(address, tuple(flows)) for address in agents
+            AskAgent(address, tuple(flows), self._number) for address in agents
         ]
         return asked or self._end_round()
 
     def on_answer(self, answer: messages.AnswerMany) -> list[Step]:
         """Handles the answer of an agent."""
         current = self._round
+        if answer.number != self._number:
+            # It says nothing about the flows of this round.
+            self._counters["resolver_answers_late"] += 1
+            return []
         if current is None or answer.agent not in current.awaited:
             return []
         current.awaited.discard(answer.agent)
--- a/tests/test_l4_resolver.py
+++ b/tests/test_l4_resolver.py
@@ -21,9 +21,10 @@
     agent: messages.Address,
     *owned: packet.FlowKey,
     has_full_table: bool = True,
+    number: int = 1,
 ) -> messages.AnswerMany:
-    """Returns the answer of an agent."""
-    return messages.AnswerMany(agent, owned, has_full_table)
+    """Returns the answer of an agent, to the first round by default."""
+    return messages.AnswerMany(agent, owned, has_full_table, (), number)
 
 
 class TestRound:
@@ -40,7 +41,8 @@
             AGENTS, NOW_MS, knows_all_agents=knows_all_agents
         )
         assert steps == [
-            resolver.AskAgent(agent, (FLOWS[0], FLOWS[1])) for agent in AGENTS
+            resolver.AskAgent(agent, (FLOWS[0], FLOWS[1]), 1)
+            for agent in AGENTS
         ]
         return found
 
@@ -54,6 +56,22 @@
             if isinstance(step, resolver.Reply)
         }
 
+    # Guards against a flow that is reset because its owner's late answer to
+    # the round before counts as a denial.
+    def test_late_answer_is_not_one_of_the_next_round(self) -> None:
+        """The owner has not been heard on the flows of the second round."""
+        found = self.begin()
+        now_ms = NOW_MS + resolver.ANSWER_MS + 1
+        found.tick(now_ms)
+        found.add(FLOWS[2], BALANCER)
+        found.begin_round(AGENTS, now_ms, knows_all_agents=True)
+        for agent in AGENTS[:-1]:
+            assert not found.on_answer(answer(agent, number=2))
+        assert not found.on_answer(answer(AGENTS[-1], number=1))
+        assert self.verdicts(
+            found.on_answer(answer(AGENTS[-1], FLOWS[2], number=2))
+        ) == {(BALANCER.ip, FLOWS[2], messages.OWNS)}
+
     def test_owner_is_told_to_every_balancer_at_once(self) -> None:
         """Guards against callers that wait for the slowest agent."""
         found = self.begin()
