--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -39,8 +39,6 @@
 # The fabric takes a balancer out of rotation after two failed readiness
 # checks, half a second apart. Packets in transit still arrive after that.
 LINGER_S = 2.5
-
-
 # Names of evacuations travel in messages of at most 8 KB between balancers.
 MAX_DATA_CENTRE_BYTES = 100
 MAX_EVACUATIONS = 50
@@ -360,6 +358,7 @@
         return True
 
     def _update_sentinel(self) -> None:
+        """Notices whether it has become, or is no longer, a sentinel."""
         is_sentinel = self.core.is_sentinel(clock.now_ms())
         if is_sentinel == self._is_sentinel:
             return
@@ -369,10 +368,6 @@
             # The watches that wait may do so for longer than a sentinel's.
             self.store.renew_watches()
 
-    def renew_watches(self) -> None:
-        """Begins the watches of the store again."""
-        self.store.renew_watches()
-
     def _gossip(self) -> None:
         while True:
             eventlet.sleep(GOSSIP_INTERVAL_S * self.rng.uniform(0.9, 1.1))
--- a/sapphirelift/_packet_node.py
+++ b/sapphirelift/_packet_node.py
@@ -292,7 +292,7 @@
             case actions.FetchReplica(address):
                 eventlet.spawn(self.fetch_replica, address)
             case actions.RenewWatches():
-                self.renew_watches()
+                self.store.renew_watches()
             case actions.Log(event, fields):
                 self.log.write(event, **fields)
 
@@ -304,10 +304,6 @@
         """Fetches the replicated state of another balancer."""
         raise NotImplementedError
 
-    def renew_watches(self) -> None:
-        """Begins the watches of the store again."""
-        raise NotImplementedError
-
     def _tick(self) -> None:
         try:
             while self.core.has_pending:
--- a/sapphirelift/platform/decoding.py
+++ b/sapphirelift/platform/decoding.py
@@ -27,14 +27,14 @@
     """Decodes a JSON document.
 
     Raises:
-        UnreadableError: It is malformed, not of the type, nested too deeply or
-            contains too large an integer.
+        UnreadableError: It is malformed, not of the type, or nested more deeply
+            than the decoder can follow. See ``check_bounds`` for what the
+            decoder lets pass.
     """
     try:
-        decoded = msgspec.json.decode(data, type=kind)
+        return msgspec.json.decode(data, type=kind)
     except _ERRORS as error:
         raise errors.UnreadableError(str(error)) from error
-    return decoded
 
 
 def convert(value: Any, kind: type[Any]) -> Any:
