Serve the odd item of a test from a process of its own

TestDaemons::test_all_become_ready hung once after other test files, at a load average of 16, and then in two of two runs after test_silent_store. The stack showed the reason: the server ran in a thread of the test process, where sockets are those of green threads once another module has patched them, so that its calls blocked each other.

It is a process now. The checks of the test are the same.

--- a/tests/test_odd_items.py
+++ b/tests/test_odd_items.py
@@ -4,11 +4,9 @@
 import json
 import pathlib
 import random
-import threading
-import urllib.error
-import urllib.request
+import subprocess
+import sys
 from collections.abc import Iterator
-from http import server as http_server
 from typing import Any
 
 import pytest
@@ -220,51 +218,19 @@
             decoding.check_bounds([value])
 
 
-class _OddProxy(http_server.BaseHTTPRequestHandler):
-    """Passes calls on to the store, and adds an odd item to each list."""
-
-    store_url = ""
-
-    def _pass_on(self) -> None:
-        length = int(self.headers.get("Content-Length") or 0)
-        request = urllib.request.Request(
-            self.store_url + self.path,
-            data=self.rfile.read(length) if length else None,
-            method=self.command,
-            headers={"Content-Type": "application/json"},
-        )
-        try:
-            with urllib.request.urlopen(request, timeout=30) as answer:
-                status, data = answer.status, answer.read()
-        except urllib.error.HTTPError as error:
-            status, data = error.code, error.read()
-        odd = item("odd", DEEP)
-        data = data.replace(b'"items": []', b'"items": [%b]' % odd)
-        data = data.replace(b'"items": [{', b'"items": [%b, {' % odd)
-        self.send_response(status)
-        self.send_header("Content-Length", str(len(data)))
-        self.end_headers()
-        self.wfile.write(data)
-
-    do_GET = do_PUT = do_POST = do_DELETE = _pass_on  # noqa: N815
-
-    def log_message(self, format: str, *args: Any) -> None:
-        """Writes nothing."""
-
-
 @contextlib.contextmanager
 def serve_odd_items(store_url: str) -> Iterator[int]:
     """Serves a store with an odd item in each list; yields the port."""
-    handler = type("Handler", (_OddProxy,), {"store_url": store_url})
-    proxy = http_server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
-    thread = threading.Thread(target=proxy.serve_forever)
-    thread.start()
+    port = processes.free_port()
+    serving = subprocess.Popen(
+        [sys.executable, "-m", "tests.odd_store", store_url, str(port)],
+        stderr=subprocess.DEVNULL,
+    )
     try:
-        yield proxy.server_address[1]
+        yield port
     finally:
-        proxy.shutdown()
-        thread.join()
-        proxy.server_close()
+        serving.kill()
+        serving.wait()
 
 
 class TestDaemons:
