Ask again where a watch is renewed, instead of taking it for answered

Found by reading the diff: a watch that is ended because connections may have gone silent returned "no changes". In an outage, a follower then counted the store as regained and began a long watch, and the caller protocol took its records for confirmed, although nothing had been read.

The watch now asks once more over a new connection, without waiting. Its answer, or failure, is a real one.

--- a/sapphirelift/platform/store.py
+++ b/sapphirelift/platform/store.py
@@ -296,7 +296,10 @@
         except _NewEraError:
             return None
         except _RenewError:
-            return Changes(since, [])
+            # Only an answer shows what the store holds, so it is asked again.
+            return self.watch(
+                kind, since=since, wait_ms=0, allow_stale=allow_stale
+            )
         finally:
             self._watching.discard(waiting)
         # In a new era, the store may have given out ``since`` again, and
@@ -323,10 +326,9 @@
             self._end_watches(_NewEraError)
 
     def renew_watches(self) -> None:
-        """Ends waiting watches, as if nothing had changed.
+        """Lets waiting watches ask again, over new connections.
 
-        To be called if connections may have gone silent without an error. The
-        next calls use new ones.
+        To be called if connections may have gone silent without an error.
         """
         if self._pool is not None:
             self._pool.clear()
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -136,21 +136,47 @@
             with pytest.raises(errors.PlatformUnavailableError):
                 client.get("config", "main")
         with eventlet.Timeout(2):
-            assert waiting.wait() == store.Changes(5, [])
+            assert waiting.wait() == store.Changes(7, [])
         assert pool.clears == 1
 
+    # Guards against a watch without an answer that passes for one, so that
+    # what may be out of date is taken as confirmed.
+    def test_watch_that_is_renewed_in_an_outage_fails(self) -> None:
+        """Only an answer shows that the store has been read."""
+        client = store.Store("http://127.0.0.1:1", calls_per_s=1000)
+        client._pool = _SilentPool(is_away=True)
+        waiting = eventlet.spawn(
+            client.watch, "config", since=5, wait_ms=60_000
+        )
+        eventlet.sleep(0.01)
+        client.renew_watches()
+        with (
+            eventlet.Timeout(2),
+            pytest.raises(errors.PlatformUnavailableError),
+        ):
+            waiting.wait()
+
 
 class _SilentPool:
-    """Connection pool on which watches wait, and other calls time out."""
+    """Connection pool on which long watches wait, and other calls time out.
 
-    def __init__(self) -> None:
+    Watches that do not wait are answered at revision 7 unless the store is
+    away.
+    """
+
+    def __init__(self, *, is_away: bool = False) -> None:
         self.headers: dict[str, str] = {}
         self.clears = 0
+        self._is_away = is_away
 
-    def request(self, method: str, url: str, **options: Any) -> None:
-        """Waits, or times out at once."""
+    def request(self, method: str, url: str, **options: Any) -> Any:
+        """Waits, answers, or times out at once."""
         del method, options
-        if "Watch=" in url:
+        if "WaitMs=0" in url and not self._is_away:
+            return urllib3.HTTPResponse(
+                body=b'{"events":[],"CurrentRev":7}', status=200
+            )
+        if "WaitMs=" in url and "WaitMs=0" not in url:
             eventlet.sleep(60)
         raise urllib3.exceptions.ReadTimeoutError(None, url, "silent")  # type: ignore[arg-type]
 
