Log each reset of an open flow with the belief that led to it

What callers saw: open flows reset although their backend server is sound. The record of it names none of these flows: a reset of a dropped route was only counted, those after a restart of the server were one line with a number, and that of a search did not say who had owned the flow, or since when.

Each reset of an open flow now writes `flow_reset`: the flow, the reason, the believed owner, the age and the source of that belief.

No decision changes.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -14,6 +14,7 @@
 from sapphirelift.core.l4 import flow_table
 from sapphirelift.core.l4 import heartbeats
 from sapphirelift.core.l4 import messages
+from sapphirelift.core.l4 import ownership
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
@@ -242,11 +243,10 @@
         for key, flow in ended:
             self._remove_flow(key, now_ms)
             self.counters["resets_backend_restarted"] += 1
+            self._log_reset(key, flow, "backend_restarted", now_ms)
             self._actions.append(
                 actions.ResetCaller(key, flow.caller_acknowledged)
             )
-        if ended:
-            self._log("flows_of_former_start_reset", flows=len(ended))
 
     def on_end(self, backend_id: str, now_ms: int) -> None:
         """Handles the notice that the backend server has left."""
@@ -397,7 +397,7 @@
             return
         # The backend server has lost the flow, for example by a restart.
         self.counters["resets_flow_lost"] += 1
-        self._log("flow_lost_by_backend", flow=str(key), outcome="reset")
+        self._log_reset(key, flow, "denied_by_backend", now_ms)
         self._reset(received)
 
     def _reset(self, received: packet.Packet) -> None:
@@ -946,6 +946,32 @@
         if address.port:
             self._actions.append(actions.SendDaemon(address, message))
 
+    def _log_reset(
+        self,
+        key: packet.FlowKey,
+        flow: flow_table.Flow,
+        reason: str,
+        now_ms: int,
+    ) -> None:
+        is_known = flow.caller_sequence is not None
+        belief = ownership.Belief(
+            self.identity.name,
+            flow.accepted_ms,
+            ownership.OPENED if is_known else ownership.RELEARNED,
+        )
+        report = self.backend.report
+        self._actions.append(
+            ownership.reset_line(
+                key,
+                reason=reason,
+                belief=belief,
+                now_ms=now_ms,
+                idle_ms=now_ms - flow.used_ms,
+                backend=report.backend_id if report is not None else None,
+                report_age_ms=now_ms - self.backend.last_heard_ms,
+            )
+        )
+
     def _log(self, event: str, **fields: object) -> None:
         self._actions.append(actions.Log(event, fields))
 
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -15,6 +15,7 @@
 from sapphirelift.core.l4 import heartbeats
 from sapphirelift.core.l4 import lookup
 from sapphirelift.core.l4 import messages
+from sapphirelift.core.l4 import ownership
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import placement
 from sapphirelift.core.l4 import resolver
@@ -77,6 +78,8 @@
 
     Attributes:
         address: Address of the agent that owns the flow.
+        since_ms: When the balancer learned of the owner.
+        source: What it learned it from, see ``ownership.Belief``.
         caller_sequence: Sequence number of the opening packet, None if the
             owner was found by a search.
         service: Service to which the opening was assigned.
@@ -88,6 +91,8 @@
     """
 
     address: messages.Address
+    since_ms: int
+    source: str
     caller_sequence: int | None = None
     service: str = ""
     received_ms: int = 0
@@ -558,13 +563,20 @@
         key = routes.RouteKey(flow.route_ip, flow.route_port)
         if key in self._removed_routes:
             self.counters["resets_route_removed"] += 1
-            self._owners.pop(flow, None)
+            self._log_reset(
+                flow,
+                "route_removed",
+                self._belief(self._owners.pop(flow, None)),
+                now_ms,
+                removed_since_ms=now_ms - self._removed_routes[key],
+                configuration_revision=self._configuration_store_revision,
+            )
             self._reset(received)
             return
         owner = self._owners.get(flow)
+        lost: _Owner | None = None
         if owner is not None and self._is_lost(owner.address, now_ms):
-            del self._owners[flow]
-            owner = None
+            lost, owner = self._owners.pop(flow), None
         if owner is not None:
             self._owners.move_to_end(flow)
             self._resolve_alternative(owner, received)
@@ -574,7 +586,7 @@
         if opening is not None:
             self._deliver(opening.candidates[opening.index], received)
             return
-        self._look_up(received, now_ms)
+        self._look_up(received, now_ms, belief=self._belief(lost))
 
     def _is_lost(self, address: messages.Address, now_ms: int) -> bool:
         if address in self._departed_agents:
@@ -628,6 +640,7 @@
         now_ms: int,
         *,
         without: messages.Address | None = None,
+        belief: ownership.Belief | None = None,
     ) -> None:
         route = self.configuration.find(received.flow)
         if route is None:
@@ -646,6 +659,7 @@
                 knows_all_agents=self.has_directory
                 and known_agents <= MAX_ASKED_AGENTS,
                 can_resolve=len(self.agents) >= resolver.MIN_AGENTS,
+                belief=belief,
             ),
         )
 
@@ -705,7 +719,9 @@
                     self._on_resolver_silent(flow, address, now_ms)
                 case lookup.Found(flow, address, packets, took_ms):
                     self.samples.add("owner_search", took_ms)
-                    self._cache_owner(flow, _Owner(address))
+                    self._cache_owner(
+                        flow, _Owner(address, now_ms, ownership.FOUND)
+                    )
                     self._log(
                         "owner_found",
                         flow=str(flow),
@@ -718,7 +734,7 @@
                 case lookup.Probe(address, probe):
                     self._deliver(address, probe)
                 case lookup.NoOwner():
-                    self._on_no_owner(step)
+                    self._on_no_owner(step, now_ms)
 
     # Joint searches for the owners of many flows.
 
@@ -793,20 +809,49 @@
         if agent is not None and agent.is_late(now_ms):
             agent.on_asked(now_ms)
 
-    def _on_no_owner(self, found: lookup.NoOwner) -> None:
+    def _on_no_owner(self, found: lookup.NoOwner, now_ms: int) -> None:
         # ``has_directory`` may have become true during the search, so that
         # only the value at its beginning counts.
         is_certain = found.silent == 0 and found.has_asked_all
         self.counters["flows_without_owner"] += 1
+        if is_certain and found.packets:
+            self._log_reset(
+                found.flow,
+                "no_owner",
+                found.belief,
+                now_ms,
+                agents=len(self.agents),
+            )
+            self._reset(found.packets[-1])
+            return
         self._log(
             "flow_without_owner",
             flow=str(found.flow),
             silent_agents=found.silent,
             has_asked_all=found.has_asked_all,
-            outcome="reset" if is_certain else "dropped",
+            outcome="dropped",
+        )
+
+    def _belief(self, owner: _Owner | None) -> ownership.Belief | None:
+        if owner is None:
+            return None
+        return ownership.Belief(
+            self._agent_name(owner.address), owner.since_ms, owner.source
+        )
+
+    def _log_reset(
+        self,
+        flow: packet.FlowKey,
+        reason: str,
+        belief: ownership.Belief | None,
+        now_ms: int,
+        **details: object,
+    ) -> None:
+        self._actions.append(
+            ownership.reset_line(
+                flow, reason=reason, belief=belief, now_ms=now_ms, **details
+            )
         )
-        if is_certain and found.packets:
-            self._reset(found.packets[-1])
 
     def _cache_owner(self, flow: packet.FlowKey, owner: _Owner) -> None:
         self._owners.pop(flow, None)
@@ -878,6 +923,8 @@
                 flow,
                 _Owner(
                     opened.agent,
+                    now_ms,
+                    ownership.OPENED,
                     opening.caller_sequence,
                     opening.service,
                     opening.started_ms,
@@ -947,6 +994,7 @@
         self.counters["missed"] += 1
         flow = received.flow
         owner = self._owners.get(flow)
+        belief = self._belief(owner)
         if owner is not None and owner.address == agent:
             if owner.alternative is not None:
                 owner.address, owner.alternative = owner.alternative[0], None
@@ -961,7 +1009,7 @@
                 now_ms, self._lookups.on_missed(flow, agent, received, now_ms)
             )
             return
-        self._look_up(received, now_ms, without=agent)
+        self._look_up(received, now_ms, without=agent, belief=belief)
 
     def _on_heartbeat(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
         if heartbeat.state == agents.GONE:
--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from sapphirelift.core.l4 import messages
+from sapphirelift.core.l4 import ownership
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import resolver
 
@@ -82,12 +83,14 @@
         packets: Packets buffered during the search.
         silent: Number of agents that did not answer and may own the flow.
         has_asked_all: Whether all agents were known when the search began.
+        belief: What was believed about the owner before the search.
     """
 
     flow: packet.FlowKey
     packets: list[packet.Packet]
     silent: int
     has_asked_all: bool
+    belief: ownership.Belief | None = None
 
 
 Step = SendAsk | SendResolve | ResolverSilent | Found | Probe | NoOwner
@@ -114,6 +117,7 @@
         resolver: The resolver that was asked, None if none has been.
         ended_at: Agent at which the flow has ended, None if none has said so.
             It owns the flow unless another agent has one of the same port.
+        belief: What was believed about the owner before the search.
     """
 
     packets: collections.deque[packet.Packet]
@@ -134,6 +138,7 @@
     is_resolving: bool = False
     resolver: messages.Address | None = None
     ended_at: messages.Address | None = None
+    belief: ownership.Belief | None = None
 
 
 class Lookups:
@@ -162,6 +167,7 @@
         without: messages.Address | None = None,
         knows_all_agents: bool = True,
         can_resolve: bool = False,
+        belief: ownership.Belief | None = None,
     ) -> list[Step]:
         """Begins a search, or adds a packet to the flow's current search.
 
@@ -173,6 +179,7 @@
             knows_all_agents: Whether all existing agents are known.
             can_resolve: Whether a resolver may be asked if none of the
                 likeliest agents owns the flow.
+            belief: What has been believed about its owner until now.
         """
         search = self._lookups.get(received.flow)
         if search is not None:
@@ -191,6 +198,7 @@
             [agent for agent in agents if agent != without],
             knows_all_agents,
             can_resolve=can_resolve,
+            belief=belief,
         )
         return self._advance(received.flow, now_ms)
 
@@ -234,6 +242,7 @@
                 list(search.packets),
                 silent=0 if is_certain else 1,
                 has_asked_all=is_certain,
+                belief=search.belief,
             )
         ]
 
@@ -342,5 +351,6 @@
                 list(search.packets),
                 search.silent,
                 search.knows_all_agents,
+                search.belief,
             )
         ]
--- a/sapphirelift/standins/packet_network.py
+++ b/sapphirelift/standins/packet_network.py
@@ -4,6 +4,7 @@
 store. Delays, losses and random choices come from one seeded generator.
 """
 
+import dataclasses
 import functools
 import heapq
 import itertools
@@ -52,6 +53,11 @@
     )
 
 
+def without_routes(revision: int) -> routes.Configuration:
+    """Returns a configuration whose route has been removed."""
+    return dataclasses.replace(configuration(revision), routes={})
+
+
 class AgentHost:
     """Simulated instance with a backend server and its agent."""
 
