Add failing tests: open flows are reset by what is said about their server

Each case lets a server live and says something wrong, late or early about it: a notice of leaving, a report of a new start, start times of a clock that was set back, a late report of a former start, no reports, a removed route that is back.

--- /dev/null
+++ b/tests/test_l4_hearsay.py
@@ -0,0 +1,236 @@
+"""Open flows while something wrong or early is said about their server.
+
+Reports, notices of leaving and announced states say whether a backend server
+takes new flows. Which flows it has open, only the server itself shows.
+"""
+
+import pytest
+
+from sapphirelift.core.l4 import backend
+from sapphirelift.standins import flow_ends
+from sapphirelift.standins import packet_network
+
+FLOWS = 12
+
+
+class Case:
+    """A network with open flows, and one of its servers with its agent."""
+
+    def __init__(self) -> None:
+        self.net = packet_network.Network(1)
+        for _ in range(3):
+            self.net.add_agent()
+        for _ in range(2):
+            self.net.add_balancer()
+        self.net.run(1500)
+        self.flows = self._open()
+        self.host = next(iter(self.net.agents.values()))
+        self.own = [f for f in self.flows if f.flow in self.host.backend.opened]
+        assert self.own
+        # Its reports have been heard since the flows were accepted.
+        self.net.run(1500)
+
+    def _open(self) -> list[flow_ends.CallerFlow]:
+        flows = []
+        for _ in range(FLOWS):
+            flows.append(self.net.open_flow())
+            self.net.run(20)
+        self.net.run(500)
+        assert [f.state for f in flows] == ["open"] * FLOWS
+        return flows
+
+    def report(self) -> backend.Report:
+        """Returns the newest report that the agent has taken."""
+        newest = self.host.agent.backend.report
+        assert newest is not None
+        return newest
+
+    def announce_end(self) -> None:
+        """Sends a notice of leaving with the server's name."""
+        self.host.agent.on_end(self.report().backend_id, self.net.now_ms)
+        self.net.perform(self.host)
+
+    def restart_balancers(self) -> None:
+        """Restarts the balancers, which then know no owner."""
+        for ip in list(self.net.balancers):
+            self.net.add_balancer(ip)
+
+    def check_own_flows_go_on(self) -> None:
+        """Sends a request on each flow of the server."""
+        before = [f.answers for f in self.own]
+        for flow in self.own:
+            flow.request()
+            self.net.run(20)
+        self.net.run(1000)
+        assert self.net.resets == []
+        assert [f.answers for f in self.own] == [n + 1 for n in before]
+
+
+class TestNoticeOfLeaving:
+    """A notice of leaving that names a server which lives."""
+
+    # Guards against flows reset by a notice that is late, of a former start
+    # under the same name, or of another writer.
+    def test_flows_of_a_living_server_go_on(self) -> None:
+        """The server answers for its flows, and then reports again."""
+        case = Case()
+        case.announce_end()
+        case.check_own_flows_go_on()
+        case.net.run(3 * packet_network.REPORT_INTERVAL_MS)
+        case.check_own_flows_go_on()
+        assert case.host.agent.state(case.net.now_ms) == "ready"
+
+    # Guards against flows reset between a server's notice and its exit.
+    def test_server_serves_on_until_it_exits(self) -> None:
+        """No new flow is opened at it meanwhile."""
+        case = Case()
+        case.host.is_draining = True
+        case.host.report()
+        case.net.run(200)
+        case.host.is_reporting = False
+        case.announce_end()
+        case.net.run(50)
+        opened = len(case.host.backend.opened)
+        for _ in range(5):
+            case.check_own_flows_go_on()
+            case.net.open_flow()
+        assert len(case.host.backend.opened) == opened
+
+    # Guards against callers that wait on the flows of a server that has left.
+    def test_flows_are_reset_once_it_has_exited(self) -> None:
+        """Idle callers can open another flow before their next request."""
+        case = Case()
+        case.host.is_reporting = False
+        case.announce_end()
+        case.net.run(300)
+        case.host.backend.is_alive = False
+        case.net.run(1500)
+        assert {f.state for f in case.own} == {"reset"}
+        assert set(case.net.resets) == {f.flow for f in case.own}
+
+    # Guards against balancers that reset the flows of a living server whose
+    # agent is restarted after such a notice.
+    def test_planned_restart_of_the_agent(self) -> None:
+        """The agent must not say that its server has left."""
+        case = Case()
+        case.announce_end()
+        case.net.run(10)
+        case.host.agent.leave(case.net.now_ms)
+        case.net.perform(case.host)
+        case.net.run(50)
+        case.host.stop_agent()
+        case.net.run(500)
+        case.host.start_agent()
+        case.net.run(500)
+        case.check_own_flows_go_on()
+
+
+class TestReportOfNewStart:
+    """A report that names a new start while the former one lives."""
+
+    # Guards against flows reset by a sound report of another writer, or of a
+    # server that takes over and is not there yet.
+    def test_flows_of_a_living_server_go_on(self) -> None:
+        """The server answers for its flows."""
+        case = Case()
+        case.host.agent.on_report(
+            case.report()._replace(
+                backend_id="other", born_ms=case.net.now_ms, number=1
+            ),
+            case.net.now_ms,
+        )
+        case.net.perform(case.host)
+        case.net.run(200)
+        case.check_own_flows_go_on()
+
+
+class TestRestartedAgent:
+    """An agent that starts while its server has open flows."""
+
+    # Guards against flows denied by an agent that takes its server for a new
+    # one: the server's clock was ahead when it started, and was set back.
+    @pytest.mark.parametrize("ahead_ms", [5_000, 3_600_000])
+    def test_server_whose_clock_was_set_back(self, ahead_ms: int) -> None:
+        """The number of its report shows that it is older than the agent."""
+        case = Case()
+        case.net.run(5 * packet_network.REPORT_INTERVAL_MS)
+        case.host.stop_agent()
+        case.host.born_ms = case.net.now_ms + ahead_ms
+        case.net.run(500)
+        case.host.start_agent()
+        case.restart_balancers()
+        case.net.run(1000)
+        case.check_own_flows_go_on()
+
+    # Guards against flows denied after a late report of a former start.
+    def test_late_report_of_a_former_start(self) -> None:
+        """Two starts heard do not show that the later one has no flows."""
+        case = Case()
+        case.net.run(5 * packet_network.REPORT_INTERVAL_MS)
+        case.host.stop_agent()
+        case.host.is_reporting = False
+        case.net.run(1000)
+        newest = case.report()
+        case.host.start_agent()
+        case.host.agent.on_report(
+            newest._replace(
+                backend_id="former", born_ms=newest.born_ms - 60_000
+            ),
+            case.net.now_ms,
+        )
+        case.host.is_reporting = True
+        case.host.report()
+        case.restart_balancers()
+        case.net.run(1000)
+        case.check_own_flows_go_on()
+
+
+class TestSilentServer:
+    """A server whose reports do not arrive."""
+
+    # Guards against the flows of a living server that are reset as soon as its
+    # agent is late as well.
+    def test_flows_outlive_a_short_silence_of_the_agent(self) -> None:
+        """A server that does not report may have open flows."""
+        case = Case()
+        case.host.is_reporting = False
+        case.net.run(5 * packet_network.REPORT_INTERVAL_MS)
+        case.host.is_up = False
+        case.net.run(1900)
+        for flow in case.own:
+            flow.request()
+        case.net.run(200)
+        case.host.is_up = True
+        case.net.run(2500)
+        assert case.net.resets == []
+        assert [f.answers for f in case.own] == [1] * len(case.own)
+
+
+class TestRemovedRoute:
+    """A route that is removed and added again."""
+
+    # Guards against a reset by a balancer that has not heard yet that the
+    # route is back.
+    def test_flow_opened_after_its_return_goes_on(self) -> None:
+        """A flow of which nothing is known may be newer than the removal."""
+        net = packet_network.Network(1)
+        net.add_agent()
+        early, late = (net.add_balancer() for _ in range(2))
+        net.run(1500)
+        for version in (2, 3):
+            changed = packet_network.configuration(version)
+            if version == 2:
+                changed = packet_network.without_routes(version)
+                late.core.set_configuration(changed, net.now_ms, source="test")
+            early.core.set_configuration(changed, net.now_ms, source="test")
+        net.rotation = [early.address.ip]
+        flow = net.open_flow()
+        net.run(300)
+        assert flow.state == "open"
+        net.rotation = [late.address.ip]
+        flow.request()
+        net.run(100)
+        net.rotation = [early.address.ip]
+        net.run(1500)
+        assert net.resets == []
+        assert flow.answers == 1
