Keep the flows of a leaving server until its process is gone

What callers saw: open flows reset although their backend server is sound: all of a server's, 6 to 12 at a time with real processes, on the next packet of each after a DELETE that names it.

Cause: the agent took a notice of leaving for the end of its server and forgot all flows at once, so that it denied them and balancers reset them. The notice comes some time before the process exits, may be of a former start under the same Id, may come after later reports (an agent that was paused takes waiting calls in any order), and may be of another writer. The planned restart of an agent in that state even told balancers that nothing was left there (GONE), and they looked for the flows at other servers.

Class: what is said about a backend server decides over flows that only the server knows.

Fix: the notice ends new flows, no others. Packets go on to the server. Its flows are then reset at once, so that idle callers return before their next request; until now they learned of it with that request. GONE and the removal of the directory entry wait for it too. A report that cannot have been under way with the notice (half an interval later) takes the server back into service. A body, if there is one, must name the current start.

--- a/sapphirelift/_packet_agent.py
+++ b/sapphirelift/_packet_agent.py
@@ -22,6 +22,10 @@
 
 # Lets the balancers receive the announcement before the process exits.
 LINGER_S = 0.1
+# A connection on the instance itself is accepted or refused in a millisecond,
+# or after 100 ms if the instance has used up its CPU quota.
+CHECK_TIMEOUT_S = 0.5
+LAST_CHECK_TIMEOUT_S = 0.2
 # Refused reports are logged at most once within this time.
 REFUSAL_LOG_INTERVAL_MS = 1000
 
@@ -53,6 +57,7 @@
             is_first_start=settings.is_first_start,
             now_ms=clock.now_ms(),
         )
+        self._has_departed = False
         self._refusal_logged_ms = -REFUSAL_LOG_INTERVAL_MS
         self._backend_address = deployment.address(settings.backend)
         self._outbound_socket = datagrams.DatagramSocket(
@@ -96,6 +101,12 @@
 
         The directory entry is removed only if the backend server has left.
         """
+        if self.core.backend.has_announced_end:
+            self.core.on_backend_checked(
+                is_refused=self._is_backend_refused(LAST_CHECK_TIMEOUT_S),
+                now_ms=clock.now_ms(),
+                is_last=True,
+            )
         has_left = self.core.backend.has_departed
         self.core.leave(clock.now_ms())
         self.perform()
@@ -150,18 +161,46 @@
     # Reports of the backend server.
 
     def _on_report(self, report: backend.Report) -> None:
-        had_departed = self.core.backend.has_departed
         self.core.on_report(report, clock.now_ms())
-        if had_departed and not self.core.backend.has_departed:
-            self._directory.set_listed(True)
+        self._update_listing()
         self.perform()
 
-    def _on_end(self, backend_id: str) -> None:
-        self.core.on_end(backend_id, clock.now_ms())
-        if self.core.backend.has_departed:
-            self._directory.set_listed(False)
+    def _on_end(self, notice: backend.EndNotice) -> None:
+        self.core.on_end(
+            notice.backend_id, clock.now_ms(), born_ms=notice.born_ms
+        )
         self.perform()
 
+    def check_backend(self, after_ms: int) -> None:
+        """Checks after a time whether the backend server is gone."""
+        eventlet.spawn_after(after_ms / 1000, self._check_backend)
+
+    def _check_backend(self) -> None:
+        self.core.on_backend_checked(
+            is_refused=self._is_backend_refused(CHECK_TIMEOUT_S),
+            now_ms=clock.now_ms(),
+        )
+        self._update_listing()
+        self.perform()
+
+    def _is_backend_refused(self, timeout_s: float) -> bool:
+        """Returns whether nothing listens at the backend server's port."""
+        try:
+            with eventlet.Timeout(timeout_s):
+                eventlet.connect(self._backend_address).close()
+        except (ConnectionRefusedError, ConnectionResetError):
+            return True
+        except (OSError, eventlet.Timeout) as error:
+            self.log.write("backend_not_checked", reason=repr(error))
+        return False
+
+    def _update_listing(self) -> None:
+        """Lists the agent in the directory unless its server has left."""
+        has_departed = self.core.backend.has_departed
+        if has_departed != self._has_departed:
+            self._has_departed = has_departed
+            self._directory.set_listed(not has_departed)
+
     def _on_refused(self, reason: str) -> None:
         self.core.counters["reports_refused"] += 1
         now_ms = clock.now_ms()
--- a/sapphirelift/_packet_node.py
+++ b/sapphirelift/_packet_node.py
@@ -284,6 +284,8 @@
                 )
             case actions.SendBackend(data):
                 self.send_backend(data)
+            case actions.CheckBackend(after_ms):
+                self.check_backend(after_ms)
             case actions.ResetCaller(flow, sequence):
                 self.core.counters["resets"] += 1
                 reset = packets.encode_reset(flow, sequence)
@@ -300,6 +302,10 @@
         """Sends a packet to the backend server."""
         raise NotImplementedError
 
+    def check_backend(self, after_ms: int) -> None:
+        """Checks after a time whether the backend server is gone."""
+        raise NotImplementedError
+
     def fetch_replica(self, address: messages.Address) -> None:
         """Fetches the replicated state of another balancer."""
         raise NotImplementedError
--- a/sapphirelift/bench/soak.py
+++ b/sapphirelift/bench/soak.py
@@ -98,6 +98,8 @@
         self._born_ms = time.time_ns() // 1_000_000
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((instance.ip, ports.app))
+        # Checks of the port are accepted by the system.
+        self._listener = socket.create_server((instance.ip, ports.app))
         outbound = (instance.ip, ports.outbound)
         self.server = flow_ends.BackendServer(
             rng,
--- a/sapphirelift/core/l4/actions.py
+++ b/sapphirelift/core/l4/actions.py
@@ -29,6 +29,13 @@
     data: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckBackend:
+    """Checks after a time whether the backend server accepts connections."""
+
+    after_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResetCaller:
     """Resets a flow at the caller.
@@ -71,6 +78,7 @@
     SendDaemon
     | SendCaller
     | SendBackend
+    | CheckBackend
     | ResetCaller
     | FetchReplica
     | RenewWatches
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -11,6 +11,7 @@
 from sapphirelift.core.l4 import actions
 from sapphirelift.core.l4 import agents
 from sapphirelift.core.l4 import backend as backend_module
+from sapphirelift.core.l4 import departure
 from sapphirelift.core.l4 import flow_table
 from sapphirelift.core.l4 import heartbeats
 from sapphirelift.core.l4 import messages
@@ -98,6 +99,7 @@
         self.backend = backend_module.Backend(
             report_interval_ms=report_interval_ms
         )
+        self._departure = departure.Departure()
         self.flows = flow_table.FlowTable()
         self.balancers = heartbeats.Schedule()
         self.store_era = 0
@@ -248,17 +250,89 @@
                 actions.ResetCaller(key, flow.caller_acknowledged)
             )
 
-    def on_end(self, backend_id: str, now_ms: int) -> None:
-        """Handles the notice that the backend server has left."""
-        if self.backend.end(backend_id):
+    def on_end(
+        self, backend_id: str, now_ms: int, *, born_ms: int | None = None
+    ) -> None:
+        """Handles the notice that the backend server is about to leave.
+
+        It gets no new flows. Those that it has are its own until it is gone.
+
+        Args:
+            backend_id: Name of the backend server.
+            now_ms: Current time.
+            born_ms: Its start time, None if the notice does not tell.
+        """
+        newest = self.backend.report
+        notice = backend_module.EndNotice(backend_id, born_ms)
+        if not self.backend.announce_end(notice, now_ms):
+            self.counters["end_notices_ignored"] += 1
             self._log(
-                "backend_left",
+                "end_notice_ignored",
                 backend=backend_id,
-                flows=self.flows.open_flows,
+                born_ms=born_ms,
+                current=newest.backend_id if newest is not None else None,
             )
-            self.flows.clear()
-            self._active_requests = 0
-            self._announce_state_change(now_ms)
+            return
+        self._log(
+            "backend_leaving",
+            backend=backend_id,
+            flows=self.flows.open_flows,
+            report_age_ms=now_ms - self.backend.last_heard_ms,
+        )
+        for key, flow in self.flows.held():
+            self._abandon_open(key, flow, agents.UNAVAILABLE, now_ms)
+        self._announce_state_change(now_ms)
+        self._check_backend(self._departure.begin())
+
+    def _check_backend(self, after_ms: int | None) -> None:
+        if after_ms is not None:
+            self._actions.append(actions.CheckBackend(after_ms))
+
+    def on_backend_checked(
+        self, *, is_refused: bool, now_ms: int, is_last: bool = False
+    ) -> None:
+        """Handles the outcome of a check of the backend server's port.
+
+        Args:
+            is_refused: Whether the connection was refused.
+            now_ms: Current time.
+            is_last: Whether the agent stops. Its supervisor stops it once the
+                server has exited, so that one refused connection is enough.
+        """
+        if not self.backend.has_announced_end:
+            # A later report has shown that the server lives.
+            self._departure.end()
+            return
+        is_gone = self._departure.is_gone(is_refused=is_refused, now_ms=now_ms)
+        if is_gone or (is_last and is_refused):
+            self._departure.end()
+            self._on_backend_gone(now_ms)
+        elif not is_last:
+            self._check_backend(self._departure.next_check_ms())
+
+    def _on_backend_gone(self, now_ms: int) -> None:
+        """Ends the flows of a backend server whose process has exited."""
+        self.backend.confirm_end()
+        report = self.backend.report
+        self._log(
+            "backend_left",
+            backend=report.backend_id if report is not None else None,
+            flows=self.flows.open_flows,
+        )
+        for key, flow in list(self.flows):
+            if flow.phase.is_live:
+                self.counters["resets_backend_left"] += 1
+                self._log_reset(key, flow, "backend_left", now_ms)
+                self._actions.append(
+                    actions.ResetCaller(key, flow.next_sequence)
+                )
+            elif not flow.phase.is_owned:
+                self._abandon_open(key, flow, agents.UNAVAILABLE, now_ms)
+        self.flows.clear()
+        self._active_requests = 0
+        # A server that starts now has no flows of before.
+        self._has_full_table = True
+        self._announce_state_change(now_ms)
 
     def state(self, now_ms: int) -> str:
         """Returns the state announced to balancers."""
@@ -299,6 +373,7 @@
 
     def on_backend_packet(self, received: packet.Packet, now_ms: int) -> None:
         """Handles a packet from the backend server to a caller."""
+        self._departure.on_sign_of_life()
         self._unanswered_opens = 0
         if self._unresponsive_until_ms:
             self._unresponsive_until_ms = 0
--- a/sapphirelift/core/l4/backend.py
+++ b/sapphirelift/core/l4/backend.py
@@ -37,13 +37,27 @@
     cold_ms: int
 
 
+class EndNotice(NamedTuple):
+    """Notice that a backend server is about to leave.
+
+    Attributes:
+        backend_id: Name of the backend server.
+        born_ms: Start time by its own wall clock, in Unix milliseconds; None
+            if the notice does not tell.
+    """
+
+    backend_id: str
+    born_ms: int | None = None
+
+
 class Backend:
     """State of the backend server, from its reports.
 
     Attributes:
         report: Newest report, None before the first one.
         last_heard_ms: When the newest report was received.
-        has_departed: Whether it has announced that it has left.
+        has_departed: Whether its process was found gone after its notice of
+            leaving.
         cold_opens_per_s: Configured rate of new flows per second that it can
             handle while cold; 0 if no rate is configured.
     """
@@ -54,24 +68,31 @@
         self.set_report_interval(report_interval_ms)
         self.last_heard_ms = 0
         self.has_departed = False
+        self._end_announced_ms: int | None = None
         self._cold_until_ms = 0
         # Last outdated report.
         self._earlier: Report | None = None
         self._open_times_ms: collections.deque[int] = collections.deque()
 
+    @property
+    def has_announced_end(self) -> bool:
+        """Whether a notice of leaving has come that no report refutes."""
+        return self._end_announced_ms is not None
+
     def set_report_interval(self, interval_ms: int) -> None:
         """Sets the interval from which a missing report is recognised."""
         self._silent_after_ms = interval_ms * SILENT_INTERVALS
+        self._under_way_ms = interval_ms // 2
 
     def update_from_report(self, report: Report, now_ms: int) -> bool:
         """Updates the state from a report.
 
         Returns:
             False for an outdated report: from an earlier start, older than
-            the newest report, or received after the server has left; unless
+            the newest report, or under way when the server left; unless
             such reports go on while there are no others.
         """
-        if self._is_outdated(report) and not (
+        if self._is_outdated(report, now_ms) and not (
             self._outlives_newest(report, now_ms)
         ):
             return False
@@ -79,10 +100,11 @@
         self._earlier = None
         self.last_heard_ms = now_ms
         self.has_departed = False
+        self._end_announced_ms = None
         self._cold_until_ms = now_ms + report.cold_ms
         return True
 
-    def _is_outdated(self, report: Report) -> bool:
+    def _is_outdated(self, report: Report, now_ms: int) -> bool:
         newest = self.report
         if newest is None or report.born_ms > newest.born_ms:
             return False
@@ -91,9 +113,25 @@
             newest.born_ms,
         )
         if is_same_start:
-            return self.has_departed or report.number <= newest.number
+            return (
+                self.has_departed
+                or self._was_under_way(now_ms)
+                or report.number <= newest.number
+            )
         return report.born_ms < newest.born_ms
 
+    def _was_under_way(self, now_ms: int) -> bool:
+        """Returns whether a report may have been sent before the notice.
+
+        An agent that was paused takes calls that waited in any order. A server
+        that lives reports again one interval later.
+        """
+        announced_ms = self._end_announced_ms
+        return (
+            announced_ms is not None
+            and now_ms - announced_ms < self._under_way_ms
+        )
+
     def _outlives_newest(self, report: Report, now_ms: int) -> bool:
         """Returns whether outdated reports go on after the newest one.
 
@@ -109,17 +147,24 @@
             and earlier.number < report.number
         )
 
-    def end(self, backend_id: str) -> bool:
-        """Marks a backend server as gone.
+    def announce_end(self, notice: EndNotice, now_ms: int) -> bool:
+        """Records a notice of leaving.
 
         Returns:
-            Whether it is the current backend server.
+            Whether it names the current start of the backend server.
         """
-        if self.report is None or self.report.backend_id != backend_id:
+        if self.report is None or notice.backend_id != self.report.backend_id:
             return False
-        self.has_departed = True
+        if notice.born_ms not in (None, self.report.born_ms):
+            return False
+        if self._end_announced_ms is None:
+            self._end_announced_ms = now_ms
         return True
 
+    def confirm_end(self) -> None:
+        """Records that the process of the backend server is gone."""
+        self.has_departed = True
+
     def assume_cold(self, now_ms: int, for_ms: int) -> None:
         """Treats the backend server as cold for a time or until a report."""
         self._cold_until_ms = max(self._cold_until_ms, now_ms + for_ms)
@@ -129,6 +174,7 @@
         if (
             self.report is None
             or self.has_departed
+            or self.has_announced_end
             or now_ms - self.last_heard_ms > self._silent_after_ms
         ):
             return agents.UNAVAILABLE
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -88,6 +88,13 @@
     caller_acknowledged: int = 0
     request_ms: int | None = None
 
+    @property
+    def next_sequence(self) -> int:
+        """Next sequence number that the caller expects; 0 if unknown."""
+        if not self.caller_acknowledged and self.initial_sequence is not None:
+            return (self.initial_sequence + 1) & 0xFFFFFFFF
+        return self.caller_acknowledged
+
     def can_include(self, received: packet.Packet) -> bool:
         """Returns whether a packet of the caller can belong to this flow.
 
--- a/sapphirelift/platform/http.py
+++ b/sapphirelift/platform/http.py
@@ -78,7 +78,7 @@
         *,
         subject: reports.Subject,
         on_report: Callable[[backend.Report], None],
-        on_end: Callable[[str], None],
+        on_end: Callable[[backend.EndNotice], None],
         on_refused: Callable[[str], None],
     ) -> None:
         super().__init__(address, "reports")
@@ -98,16 +98,26 @@
         backend_id = urllib.parse.unquote(path.removeprefix(_REPORTS_PREFIX))
         match environ["REQUEST_METHOD"]:
             case "PUT":
-                status = self._handle_report(backend_id, environ)
+                status = self._handle(backend_id, environ, self._take_report)
             case "DELETE":
-                self._on_end(backend_id)
-                status = "200 OK"
+                status = self._handle(backend_id, environ, self._take_end)
             case _:
                 status = "405 Method Not Allowed"
         start_response(status, _JSON)
         return [b"{}"]
 
-    def _handle_report(self, backend_id: str, environ: dict[str, Any]) -> str:
+    def _take_report(self, backend_id: str, body: bytes) -> None:
+        self._on_report(reports.decode(backend_id, body, subject=self._subject))
+
+    def _take_end(self, backend_id: str, body: bytes) -> None:
+        self._on_end(reports.decode_end(backend_id, body))
+
+    def _handle(
+        self,
+        backend_id: str,
+        environ: dict[str, Any],
+        take: Callable[[str, bytes], None],
+    ) -> str:
         text = environ.get("CONTENT_LENGTH") or "0"
         if not (text.isascii() and text.isdecimal()):
             self._on_refused("the length of the body is not a number")
@@ -116,11 +126,8 @@
         if length > _MAX_REPORT_BYTES:
             self._on_refused("body too long for a report")
             return "413 Content Too Large"
-        body = environ["wsgi.input"].read(length)
         try:
-            self._on_report(
-                reports.decode(backend_id, body, subject=self._subject)
-            )
+            take(backend_id, environ["wsgi.input"].read(length))
         except errors.ReportError as error:
             self._on_refused(str(error))
             return "400 Bad Request"
--- a/sapphirelift/platform/reports.py
+++ b/sapphirelift/platform/reports.py
@@ -59,6 +59,32 @@
     born: _Positive
 
 
+class _EndBody(msgspec.Struct):
+    """Body of a notice of leaving, which usually has none."""
+
+    # As in a report.
+    born: _Positive | None = None
+
+
+def decode_end(backend_id: str, body: bytes) -> backend.EndNotice:
+    """Decodes a notice of leaving.
+
+    Args:
+        backend_id: Name of the backend server, from the path of the request.
+        body: Body of the request, as JSON; may be empty.
+
+    Raises:
+        ReportError: The body cannot be read.
+    """
+    if not body:
+        return backend.EndNotice(backend_id)
+    try:
+        decoded: _EndBody = decoding.decode(body, _EndBody)
+    except errors.UnreadableError as error:
+        raise errors.ReportError(str(error)) from error
+    return backend.EndNotice(backend_id, decoded.born)
+
+
 def decode(backend_id: str, body: bytes, *, subject: Subject) -> backend.Report:
     """Decodes a report.
 
--- a/sapphirelift/standins/packet_network.py
+++ b/sapphirelift/standins/packet_network.py
@@ -154,6 +154,15 @@
         )
         self._network.perform(self)
 
+    def check_backend(self, agent: agent_module.Agent) -> None:
+        """Tells an agent that still runs whether its server is gone."""
+        if self.is_up and agent is self.agent:
+            agent.on_backend_checked(
+                is_refused=not self.backend.is_alive,
+                now_ms=self._network.now_ms,
+            )
+            self._network.perform(self)
+
     @property
     def core(self) -> agent_module.Agent:
         """Decision logic of the agent."""
@@ -475,6 +484,12 @@
                     self.call_later(
                         0, functools.partial(host.backend.receive, data)
                     )
+                case actions.CheckBackend(after_ms):
+                    assert isinstance(host, AgentHost)
+                    self.call_later(
+                        after_ms,
+                        functools.partial(host.check_backend, host.agent),
+                    )
                 case actions.RenewWatches():
                     assert isinstance(host, BalancerHost)
                     self.call_later(
--- a/tests/test_packet_daemon.py
+++ b/tests/test_packet_daemon.py
@@ -53,6 +53,7 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((ip, ports.app))
         self._socket.settimeout(0.1)
+        self._listener = socket.create_server((ip, ports.app))
         self._reports = 0
         self._born_ms = time.time_ns() // 1_000_000
         self._is_running = True
@@ -98,19 +99,33 @@
             born_ms=self._born_ms,
             state=state,
         )
+        self._call("PUT", body)
+
+    def announce_end(self, body: dict[str, Any] | None = None) -> None:
+        """Sends a notice of leaving to the agent.
+
+        Raises:
+            OSError: The agent does not answer.
+        """
+        self._call("DELETE", body)
+
+    def _call(self, method: str, body: dict[str, Any] | None) -> None:
         request = urllib.request.Request(
             f"http://{self.ip}:{self._ports.reports}/v1/instances/i-{self.ip}",
-            data=json.dumps(body).encode(),
-            method="PUT",
+            data=json.dumps(body).encode() if body is not None else None,
+            method=method,
         )
         urllib.request.urlopen(request, timeout=2).close()
 
     def close(self) -> None:
         """Stops the receiving thread and closes the socket."""
         with self._lock:
+            if not self._is_running:
+                return
             self._is_running = False
         self._thread.join()
         self._socket.close()
+        self._listener.close()
 
 
 class Site:
@@ -360,6 +375,57 @@
         assert sent[0]["configuration_revision"] > 0
 
 
+class TestLeavingServer:
+    """A notice of leaving that names a server with open flows."""
+
+    def open_flows(self, site: Site) -> list[flow_ends.CallerFlow]:
+        """Opens flows; returns those of the first server."""
+        flows = [site.open_flow(BALANCER_IPS[n % 2]) for n in range(8)]
+        server = site.backends[0].server
+        own = [f for f in flows if server.holds(f.flow)]
+        assert own
+        return own
+
+    # Guards against flows reset by a notice that is late, of a former start
+    # under the same name, or of another writer.
+    @pytest.mark.parametrize("body", [None, {"born": 1_700_000_000_000}])
+    def test_flows_of_a_living_server_go_on(
+        self, site: Site, body: dict[str, Any] | None
+    ) -> None:
+        """The server answers for its flows, whatever the notice says."""
+        own = self.open_flows(site)
+        site.backends[0].announce_end(body)
+        for caller in own:
+            for ip in BALANCER_IPS:
+                site.exchange(caller, ip)
+
+    # Guards against flows reset between a server's notice and its exit, and
+    # against callers that wait for a server that has exited.
+    def test_flows_end_with_the_process(self, site: Site) -> None:
+        """They go on until then, and are reset without another packet."""
+        own = self.open_flows(site)
+        leaving = site.backends[0]
+        leaving.report(state="draining")
+        leaving.announce_end()
+        for caller in own:
+            for ip in BALANCER_IPS:
+                site.exchange(caller, ip)
+        leaving.close()
+        waiting = {caller.flow: caller for caller in own}
+        end_s = time.monotonic() + 10.0
+        while waiting and time.monotonic() < end_s:
+            try:
+                data = site.socket.recv(2048)
+            except TimeoutError:
+                continue
+            found = waiting.get(packets.decode_from_backend(data).flow)
+            if found is not None:
+                found.receive(data)
+                if found.state == "reset":
+                    del waiting[found.flow]
+        assert not waiting
+
+
 # Sends SIGHUP while the daemon's modules are imported.
 SIGHUP_AT_IMPORT = """
 import os, runpy, signal, sys
