Ask a backend server which flows it has when it reports a new start

What callers saw: all open flows of a living server reset as soon as a report named a later start (another writer's sound report, or one that comes before the new process takes over the address).

Cause: the agent reset all flows accepted before the former start's last report. A report was taken for the fact.

Fix: the agent sends the server a copy of the last packet of each open flow in which the caller only acknowledges. A server that has the flow ignores it; one that lost it returns it, which the agent already took for proof, and resets the flow. So callers of a server that did restart are still reset before their next request, and a flow that belongs to the new start is kept whenever it was accepted.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -49,6 +49,9 @@
 # backend server within this time. A backend server that started earlier may
 # have flows opened through an earlier incarnation of the agent.
 START_TOLERANCE_MS = 500
+# Flows of which the backend server is asked in one tick. A socket's default
+# buffer holds about 270 small packets.
+QUESTIONS_PER_TICK = 64
 
 
 class Identity(NamedTuple):
@@ -116,6 +119,11 @@
         self._max_flows = 0
         self._idle_timeout_ms = 15_000
         self._heartbeat_number = 0
+        # Open flows of which the backend server has yet to show that it has
+        # them.
+        self._questioned: collections.deque[packet.FlowKey] = (
+            collections.deque()
+        )
         self._unanswered_opens = 0
         self._unresponsive_until_ms = 0
         self._active_requests = 0
@@ -134,8 +142,8 @@
 
     @property
     def has_pending(self) -> bool:
-        """Whether ``tick`` has openings to forward or time out."""
-        return self.flows.has_opening
+        """Whether ``tick`` has openings or questions to forward."""
+        return self.flows.has_opening or bool(self._questioned)
 
     def dump(self, now_ms: int) -> dict[str, object]:
         """Returns the internal state for operators."""
@@ -185,7 +193,6 @@
     def on_report(self, report: backend_module.Report, now_ms: int) -> None:
         """Handles a report of the backend server."""
         former = self.backend.report
-        former_heard_ms = self.backend.last_heard_ms
         if not self.backend.update_from_report(report, now_ms):
             self.counters["reports_overtaken"] += 1
             self._log(
@@ -201,7 +208,7 @@
         ):
             self._on_new_backend(former, report)
             if former is not None:
-                self._reset_flows_of_former_start(former_heard_ms, now_ms)
+                self._question_open_flows()
         self._announce_state_change(now_ms)
 
     def _on_new_backend(
@@ -227,28 +234,26 @@
             former=former.backend_id if former is not None else None,
         )
 
-    def _reset_flows_of_former_start(
-        self, former_heard_ms: int, now_ms: int
-    ) -> None:
-        """Resets the flows of the backend server's former start.
+    def _question_open_flows(self) -> None:
+        """Finds out which of the open flows the backend server still has.
 
-        A caller that is reset between two requests simply opens another
-        flow, whereas a request already sent may not be safe to repeat. Flows
-        accepted after the last report of the former start are kept, because
-        they may belong to the new one.
+        It returns a packet of a flow that it does not have, and ignores the
+        copy of an acknowledgement on one that it has.
         """
-        ended = [
-            (key, flow)
-            for key, flow in self.flows
-            if flow.phase is _Phase.OPEN and flow.accepted_ms < former_heard_ms
-        ]
-        for key, flow in ended:
-            self._remove_flow(key, now_ms)
-            self.counters["resets_backend_restarted"] += 1
-            self._log_reset(key, flow, "backend_restarted", now_ms)
-            self._actions.append(
-                actions.ResetCaller(key, flow.caller_acknowledged)
-            )
+        self._questioned.extend(
+            key for key, flow in self.flows if flow.phase is _Phase.OPEN
+        )
+        self._send_questions()
+
+    def _send_questions(self) -> None:
+        """Sends copies of some callers' last acknowledgements."""
+        for _ in range(min(len(self._questioned), QUESTIONS_PER_TICK)):
+            flow = self.flows.get(self._questioned.popleft())
+            if flow is None or flow.phase is not _Phase.OPEN:
+                continue
+            if flow.caller_ack:
+                self.counters["flows_questioned"] += 1
+                self._actions.append(actions.SendBackend(flow.caller_ack))
 
     def on_end(
         self, backend_id: str, now_ms: int, *, born_ms: int | None = None
@@ -728,6 +733,8 @@
         flow.balancer = deliver.balancer
         if received.is_ack:
             flow.caller_acknowledged = received.acknowledged
+            if received.only_acknowledges:
+                flow.caller_ack = deliver.data
         self.flows.touch(key, flow, now_ms)
         if received.payload_bytes and flow.request_ms is None:
             self._start_request(flow, now_ms)
@@ -1000,6 +1007,7 @@
                 self._unresponsive_until_ms = now_ms + UNRESPONSIVE_MS
             self._abandon_open(key, flow, "unanswered", now_ms)
         self._forward_held_opens(now_ms)
+        self._send_questions()
         self._announce_state_change(now_ms)
 
     def sweep(self, now_ms: int) -> None:
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -72,6 +72,8 @@
             agent first forwarded a packet of a flow unknown to it.
         caller_acknowledged: Last acknowledgement number of the caller, used
             as the sequence number of a reset; 0 before the first one.
+        caller_ack: Last packet of the caller that only acknowledges; empty
+            before the first one.
         request_ms: When the request in progress began, None if there is none.
     """
 
@@ -86,6 +88,7 @@
     held_ms: int = 0
     accepted_ms: int = 0
     caller_acknowledged: int = 0
+    caller_ack: bytes = b""
     request_ms: int | None = None
 
     @property
--- a/sapphirelift/core/l4/packet.py
+++ b/sapphirelift/core/l4/packet.py
@@ -59,6 +59,15 @@
     payload_bytes: int
     raw: bytes
 
+    @property
+    def only_acknowledges(self) -> bool:
+        """Whether a copy of it has no effect on the flow it belongs to."""
+        return (
+            self.is_ack
+            and not self.payload_bytes
+            and not (self.is_syn or self.is_fin or self.is_reset)
+        )
+
     def repeats_opening(self, sequence: int | None, age_ms: int) -> bool:
         """Returns whether this opening packet is a copy of an earlier one.
 
