Let a restarted agent deny no flow of a server that is older than it

Cause: an agent decided by wall clocks alone whether it started before its server, and took two starts that it heard of for proof that it had seen the later one begin. Then it denied flows that it does not know.

Fix: the agent takes its table for complete only if the start time allows it and the server has not reported more often than there was time for since the agent started. A late report of a former start no longer counts. In doubt the agent says that it may own a flow, and the server is asked.

A server that started within some seconds before its agent's restart and whose clock was set back in between still passes for a new one.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -49,6 +49,9 @@
 # backend server within this time. A backend server that started earlier may
 # have flows opened through an earlier incarnation of the agent.
 START_TOLERANCE_MS = 500
+# Reports that a backend server may send beyond one an interval: it repeats
+# those that are not acknowledged, as while its agent starts.
+EXTRA_REPORTS = 4
 # Flows of which the backend server is asked in one tick. A socket's default
 # buffer holds about 270 small packets.
 QUESTIONS_PER_TICK = 64
@@ -110,6 +113,7 @@
         self.samples = samples.Samples("backend_accept", "response")
         self._report_interval_ms = report_interval_ms
         self._started_unix_ms = started_unix_ms
+        self._started_ms = now_ms
         self._has_full_table = is_first_start
         self._is_leaving = False
         # Names its own data centre at most.
@@ -206,7 +210,7 @@
             report.backend_id,
             report.born_ms,
         ):
-            self._on_new_backend(former, report)
+            self._on_new_backend(former, report, now_ms)
             if former is not None:
                 self._question_open_flows()
         self._announce_state_change(now_ms)
@@ -215,12 +219,10 @@
         self,
         former: backend_module.Report | None,
         report: backend_module.Report,
+        now_ms: int,
     ) -> None:
         """Handles the first report after a start of the backend server."""
-        if (
-            former is not None
-            or report.born_ms >= self._started_unix_ms - START_TOLERANCE_MS
-        ):
+        if self._has_started_before(report, now_ms):
             self._has_full_table = True
         self._unanswered_opens = 0
         self._unresponsive_until_ms = 0
@@ -234,6 +236,24 @@
             former=former.backend_id if former is not None else None,
         )
 
+    def _has_started_before(
+        self, report: backend_module.Report, now_ms: int
+    ) -> bool:
+        """Returns whether the agent started before its backend server.
+
+        Then all flows of the server have been opened through this process.
+        The wall clock may have been set back between the two starts, but a
+        server cannot have reported more often than there was time for.
+        """
+        since_start_ms = now_ms - self._started_ms + START_TOLERANCE_MS
+        possible_reports = (
+            EXTRA_REPORTS + since_start_ms / self._report_interval_ms
+        )
+        return (
+            report.born_ms >= self._started_unix_ms - START_TOLERANCE_MS
+            and report.number <= possible_reports
+        )
+
     def _question_open_flows(self) -> None:
         """Finds out which of the open flows the backend server still has.
 
