Do not take a server without reports for one without flows

What callers saw: with real processes, 6 of 6 open flows reset while the agent was away for 2.2 s, because its server had not reported for 3.6 s before. Other agents' flows are kept for 2.5 s.

Cause: an agent announced one state, "unavailable", for a server that has never reported, one that has left and one that is silent, does not answer openings or is about to exit. Balancers concluded from it that the agent has no flows, and searched without it as soon as a heartbeat was late.

Fix: a server that has reported and takes no new flows is "closed". It gets no openings, and its agent counts as lost no sooner than others. "Unavailable" remains for no server at all, so that an instance that ends after a start without one is still lost at once.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -305,7 +305,7 @@
             report_age_ms=now_ms - self.backend.last_heard_ms,
         )
         for key, flow in self.flows.held():
-            self._abandon_open(key, flow, agents.UNAVAILABLE, now_ms)
+            self._abandon_open(key, flow, agents.CLOSED, now_ms)
         self._announce_state_change(now_ms)
         self._check_backend(self._departure.begin())
 
@@ -365,7 +365,7 @@
             has_departed = self.backend.has_departed
             return agents.GONE if has_departed else agents.LEAVING
         if now_ms < self._unresponsive_until_ms:
-            return agents.UNAVAILABLE
+            return agents.CLOSED
         return self.backend.state(now_ms)
 
     def _announce_state_change(self, now_ms: int) -> None:
--- a/sapphirelift/core/l4/agents.py
+++ b/sapphirelift/core/l4/agents.py
@@ -9,8 +9,11 @@
 
 READY = "ready"
 DRAINING = "draining"
-# The backend server has not reported yet, is silent or has left.
+# No backend server: none has reported yet, or it has left.
 UNAVAILABLE = "unavailable"
+# The backend server takes no new flows at the moment, because it is silent,
+# does not answer or is about to exit. It may have open ones.
+CLOSED = "closed"
 # The agent is about to stop; its backend server may continue to run.
 LEAVING = "leaving"
 # The agent is about to stop, and its backend server has already left.
--- a/sapphirelift/core/l4/backend.py
+++ b/sapphirelift/core/l4/backend.py
@@ -171,13 +171,13 @@
 
     def state(self, now_ms: int) -> str:
         """Returns one of the state constants of ``core.l4.agents``."""
+        if self.report is None or self.has_departed:
+            return agents.UNAVAILABLE
         if (
-            self.report is None
-            or self.has_departed
-            or self.has_announced_end
+            self.has_announced_end
             or now_ms - self.last_heard_ms > self._silent_after_ms
         ):
-            return agents.UNAVAILABLE
+            return agents.CLOSED
         return agents.DRAINING if self.report.is_draining else agents.READY
 
     def cold_ms(self, now_ms: int) -> int:
