Reset a flow of a removed route only where it was known before

What callers saw (in memory): a flow opened after a route's return is reset by a balancer that has not heard yet that the route is back, when the flow moves to it.

Cause: a balancer reset every packet of a route that it believed removed, also of flows of which it knew nothing.

Fix: it resets flows whose owner it has cached, and drops packets of others, as for routes that it has never had.

--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -562,11 +562,17 @@
         flow = received.flow
         key = routes.RouteKey(flow.route_ip, flow.route_port)
         if key in self._removed_routes:
+            owner = self._owners.pop(flow, None)
+            if owner is None:
+                # It may have been opened after the return of the route, in a
+                # configuration that has not arrived here yet.
+                self.counters["packets_dropped_no_route"] += 1
+                return
             self.counters["resets_route_removed"] += 1
             self._log_reset(
                 flow,
                 "route_removed",
-                self._belief(self._owners.pop(flow, None)),
+                self._belief(owner),
                 now_ms,
                 removed_since_ms=now_ms - self._removed_routes[key],
                 configuration_revision=self._configuration_store_revision,
