Let only a backend server's own packets show that it has a flow

What callers saw (in memory): after agents and balancers have been restarted, 3 of 4 open flows of a living server get no answer any more. Their packets go to another server that is dead.

Cause: a packet that an agent could not attribute was sent to its server, and a packet that did not come back within 120 ms counted as taken. A server that is dead or stalled returns nothing either. Its agent claimed the flow from then on, also to other balancers.

Fix: such a flow is "probed" at the agent until the server sends a packet of it. Until then the agent only says that it may own the flow; then it tells the balancer. A balancer goes on with the next agent instead of settling for silence. If a single server has kept the packet, it is taken for the owner, as before; if several have, none is, and the next packet asks again.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -351,7 +351,7 @@
                 self._actions.append(
                     actions.ResetCaller(key, flow.next_sequence)
                 )
-            elif not flow.phase.is_owned:
+            elif flow.phase.is_opening:
                 self._abandon_open(key, flow, agents.UNAVAILABLE, now_ms)
         self.flows.clear()
         self._active_requests = 0
@@ -404,6 +404,8 @@
             self._unresponsive_until_ms = 0
             self._announce_state_change(now_ms)
         flow = self.flows.get(received.flow)
+        if flow is not None and flow.phase is _Phase.PROBED:
+            self._confirm_probed(received.flow, flow)
         if received.is_syn and received.is_ack:
             self._on_accepted(received, flow, now_ms)
             return
@@ -424,6 +426,15 @@
             self._mark_ended(received.flow, flow, now_ms)
         self._actions.append(actions.SendCaller(received))
 
+    def _confirm_probed(
+        self, key: packet.FlowKey, flow: flow_table.Flow
+    ) -> None:
+        """Tells the balancer that the backend server has a probed flow."""
+        self.counters["flows_relearned"] += 1
+        self.flows.move(key, flow, _Phase.OPEN)
+        answer = messages.Answer(key, self.identity.address, messages.OWNS)
+        self._send(flow.balancer, answer)
+
     def _on_accepted(
         self,
         received: packet.Packet,
@@ -438,7 +449,7 @@
         flow.initial_sequence = received.sequence
         flow.accepted_ms = now_ms
         self.flows.touch(received.flow, flow, now_ms)
-        if not flow.phase.is_owned:
+        if flow.phase.is_opening:
             # A held opening was sent to the backend server before, passed on
             # to other agents and offered here again.
             was_held = flow.phase is _Phase.HELD
@@ -740,7 +751,7 @@
                 return
             self.counters["packets_probed"] += 1
             flow = flow_table.Flow(
-                _Phase.OPEN, deliver.balancer, now_ms, accepted_ms=now_ms
+                _Phase.PROBED, deliver.balancer, now_ms, accepted_ms=now_ms
             )
             self._add_flow(key, flow, now_ms)
         if flow.phase is _Phase.ACCEPTED and not self._is_confirmed_by_caller(
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -38,12 +38,26 @@
     # Accepted by the backend server, not yet confirmed by the caller.
     ACCEPTED = "accepted"
     OPEN = "open"
+    # The agent started after the flow was opened, if it was opened here. The
+    # backend server has been sent a packet, and has not shown yet whether it
+    # has the flow.
+    PROBED = "probed"
     ENDED = "ended"
 
     @property
     def is_owned(self) -> bool:
         """Whether the backend server has accepted the flow, open or ended."""
-        return self not in (Phase.HELD, Phase.OPENING)
+        return self.is_live or self is Phase.ENDED
+
+    @property
+    def is_opening(self) -> bool:
+        """Whether the backend server has yet to accept the flow."""
+        return self in (Phase.HELD, Phase.OPENING)
+
+    @property
+    def is_counted(self) -> bool:
+        """Whether the flow counts as one of the backend server's."""
+        return self not in (Phase.PROBED, Phase.ENDED)
 
     @property
     def is_live(self) -> bool:
@@ -119,7 +133,8 @@
     """Bounded table of flows in least recently used order.
 
     Attributes:
-        open_flows: Number of flows that have not ended.
+        open_flows: Number of flows that have not ended, without those that
+            may belong to another agent.
     """
 
     def __init__(self) -> None:
@@ -187,9 +202,9 @@
         if len(self._flows) >= MAX_FLOWS:
             removed.append(self.remove(next(iter(self._flows))))
         self._flows[key] = flow
-        if not flow.phase.is_owned:
+        if flow.phase.is_opening:
             self._opening[key] = flow
-        self.open_flows += flow.phase is not Phase.ENDED
+        self.open_flows += flow.phase.is_counted
         return [former for former in removed if former is not None]
 
     def remove(self, key: packet.FlowKey) -> Flow | None:
@@ -198,20 +213,18 @@
         if flow is not None:
             self._opening.pop(key, None)
             self._accepted.pop(key, None)
-            self.open_flows -= flow.phase is not Phase.ENDED
+            self.open_flows -= flow.phase.is_counted
         return flow
 
     def move(self, key: packet.FlowKey, flow: Flow, phase: Phase) -> None:
         """Moves a flow to another phase."""
-        self.open_flows += (phase is not Phase.ENDED) - (
-            flow.phase is not Phase.ENDED
-        )
+        self.open_flows += phase.is_counted - flow.phase.is_counted
         flow.phase = phase
         if phase is Phase.ACCEPTED:
             self._accepted[key] = flow
         else:
             self._accepted.pop(key, None)
-        if phase.is_owned:
+        if not phase.is_opening:
             self._opening.pop(key, None)
             flow.opening_data = b""
             flow.others = ()
--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -2,7 +2,9 @@
 
 The agents are first asked whether they own the flow. If none does, but some
 have an incomplete flow table and may own it, the packet itself is sent to them
-one after the other as a probe, until a backend server accepts it.
+one after the other as a probe. A backend server that does not have the flow
+returns it; one that has it may answer the caller, or stay silent like one that
+has failed.
 """
 
 import collections
@@ -110,6 +112,8 @@
         possible_owners: Agents that answered that they may own the flow.
         probed_agent: Agent to which the packet has been sent as a probe, None
             if there is none.
+        unreturned: Agents probed whose backend servers have not returned the
+            packet.
         silent: Number of agents that did not answer in time.
         next_wave: Number of agents in the next wave.
         can_resolve: Whether a resolver may be asked after the first wave.
@@ -132,6 +136,7 @@
         default_factory=list
     )
     probed_agent: messages.Address | None = None
+    unreturned: list[messages.Address] = dataclasses.field(default_factory=list)
     silent: int = 0
     next_wave: int = FIRST_WAVE_SIZE
     can_resolve: bool = False
@@ -275,7 +280,11 @@
     ) -> list[Step]:
         """Handles a packet returned by a probed agent."""
         search = self._lookups.get(flow)
-        if search is None or search.probed_agent != agent:
+        if search is None:
+            return []
+        if agent in search.unreturned:
+            search.unreturned.remove(agent)
+        if search.probed_agent != agent:
             return []
         if agent in search.possible_owners:
             search.possible_owners.remove(agent)
@@ -299,12 +308,9 @@
                     steps.extend(self._advance(flow, now_ms))
             elif now_ms - search.asked_ms > ANSWER_MS:
                 if search.probed_agent is not None:
-                    # The packet has not come back, so the backend server has
-                    # the flow.
-                    del self._lookups[flow]
-                    took_ms = now_ms - search.started_ms
-                    steps.append(Found(flow, search.probed_agent, [], took_ms))
-                    continue
+                    search.unreturned.append(search.probed_agent)
+                    search.possible_owners.remove(search.probed_agent)
+                    search.probed_agent = None
                 search.silent += len(search.awaiting_answer)
                 search.awaiting_answer.clear()
                 steps.extend(self._advance(flow, now_ms))
@@ -313,11 +319,28 @@
     def _end_at(
         self, flow: packet.FlowKey, agent: messages.Address, now_ms: int
     ) -> list[Step]:
-        """Ends the search at the agent at which the flow has ended."""
+        """Ends the search at an agent that has not said that it owns it."""
         search = self._lookups.pop(flow)
         took_ms = now_ms - search.started_ms
         return [Found(flow, agent, list(search.packets), took_ms)]
 
+    def _end_probes(
+        self,
+        flow: packet.FlowKey,
+        unreturned: list[messages.Address],
+        now_ms: int,
+    ) -> list[Step]:
+        """Ends a search in which servers have not returned the packet.
+
+        One of several has the flow. It has got the packet, and will be the
+        only one to claim the flow once it has answered the caller.
+        """
+        if len(unreturned) == 1:
+            return self._end_at(flow, unreturned[0], now_ms)
+        del self._lookups[flow]
+        self._counters["probes_undecided"] += 1
+        return []
+
     def _advance(self, flow: packet.FlowKey, now_ms: int) -> list[Step]:
         search = self._lookups[flow]
         if search.awaiting_answer:
@@ -342,6 +365,8 @@
             search.probed_agent = search.possible_owners[0]
             search.asked_ms = now_ms
             return [Probe(search.probed_agent, search.packets[-1])]
+        if search.unreturned:
+            return self._end_probes(flow, search.unreturned, now_ms)
         if search.ended_at is not None:
             return self._end_at(flow, search.ended_at, now_ms)
         del self._lookups[flow]
--- a/tests/test_l4_hearsay.py
+++ b/tests/test_l4_hearsay.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from sapphirelift.core.l4 import actions
 from sapphirelift.core.l4 import backend
+from sapphirelift.core.l4 import messages
 from sapphirelift.standins import flow_ends
 from sapphirelift.standins import packet_network
 
@@ -234,3 +236,47 @@
         net.run(1500)
         assert net.resets == []
         assert flow.answers == 1
+
+
+class TestProbe:
+    """A packet sent to an agent that may own its flow."""
+
+    # Guards against flows of a living server that stay with another agent
+    # because its server returned nothing.
+    def test_server_that_answers_nothing_does_not_get_the_flow(self) -> None:
+        """No answer does not show that the server has the flow."""
+        case = Case()
+        dead = [h for h in case.net.agents.values() if h is not case.host]
+        for host in case.net.agents.values():
+            host.stop_agent()
+            host.start_agent()
+        for host in dead:
+            host.backend.is_alive = False
+        case.restart_balancers()
+        case.net.run(500)
+        for flow in case.own:
+            flow.request()
+        case.net.run(2500)
+        assert case.net.resets == []
+        assert [f.answers for f in case.own] == [1] * len(case.own)
+
+    # Guards against an agent that claims a flow because it was asked for it.
+    def test_probed_agent_does_not_claim_the_flow(self) -> None:
+        """Only a packet of its server shows that it has the flow."""
+        case = Case()
+        other = [h for h in case.net.agents.values() if h is not case.host][0]
+        other.stop_agent()
+        other.start_agent()
+        other.backend.is_alive = False
+        flow = case.own[0].flow
+        data = flow_ends.from_caller(flow, flow_ends.ACK, acknowledged=1)
+        balancer = messages.Address("10.1.0.1", packet_network.PORT)
+        other.receive(messages.Deliver(balancer, data), balancer.ip)
+        other.agent.drain_actions()
+        other.receive(messages.Ask(flow), balancer.ip)
+        assert [
+            action.message.verdict
+            for action in other.agent.drain_actions()
+            if isinstance(action, actions.SendDaemon)
+            and isinstance(action.message, messages.Answer)
+        ] == [messages.MAY_OWN]
