Let servers of the soak come and go, and others write in their name

The soak's servers never ended and sent sound reports only, so that it could not find what the record of open flows reported. Now a server at a time drains, announces its end, serves on for up to 1.5 s and exits, or ends without a word; it starts again under its former name or another one, and late reports and notices of the former start follow. Other writers send reports with a field missing or of another type, with an unknown state or service, unreadable ones, sound ones of another start, and notices of leaving.

A reset now counts also while the caller is idle, and three packets of a request at other servers count if the server that lives gets none to answer.

--- a/sapphirelift/bench/soak.py
+++ b/sapphirelift/bench/soak.py
@@ -15,7 +15,6 @@
 import socket
 import sys
 import time
-import urllib.request
 from collections.abc import Callable
 from typing import Any
 
@@ -27,6 +26,7 @@
 from sapphirelift import tasks
 from sapphirelift.bench import fleet as fleet_module
 from sapphirelift.bench import packet_fleet
+from sapphirelift.bench import soak_backend
 from sapphirelift.bench import soak_judge
 from sapphirelift.core.l4 import packet
 from sapphirelift.platform import packets
@@ -55,6 +55,13 @@
 # A machine with other work stalls processes. A daemon that answers a check
 # later than this, and everything while the soak itself stalls, is disrupted.
 STALL_S = 0.4
+# Time between two troubles of backend servers, and until what a wrong report
+# says about one is overcome.
+SERVER_TROUBLE_S = (1.0, 4.0)
+SETTLED_S = 4.0
+# Packets of one request at servers that do not have its flow, from which it
+# counts as misrouted.
+MISROUTED_PACKETS = 3
 TICK_S = 0.05
 
 
@@ -86,70 +93,6 @@
         self.is_stopped_by_soak = False
 
 
-class _Backend:
-    """A backend server stand-in that reports to its agent."""
-
-    def __init__(
-        self, instance: _Instance, ports: packet_fleet.Ports, rng: random.Random
-    ) -> None:
-        self.instance = instance
-        self._ports = ports
-        self._number = 0
-        self._born_ms = time.time_ns() // 1_000_000
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.bind((instance.ip, ports.app))
-        # Checks of the port are accepted by the system.
-        self._listener = socket.create_server((instance.ip, ports.app))
-        outbound = (instance.ip, ports.outbound)
-        self.server = flow_ends.BackendServer(
-            rng,
-            lambda data: self._socket.sendto(data, outbound),
-            call_later=_call_later,
-        )
-
-    def receive_forever(self) -> None:
-        """Handles the packets of the agent."""
-        while True:
-            self.server.receive(self._socket.recv(2048))
-
-    def report_forever(self) -> None:
-        """Reports to the agent twice a second."""
-        ports, ip = self._ports, self.instance.ip
-        while True:
-            self._number += 1
-            body = packet_writers.report(
-                ip=ip,
-                port=ports.app,
-                number=self._number,
-                born_ms=self._born_ms,
-                data_centre=self.instance.data_centre,
-                slots=8,
-            )
-            _call_http(
-                f"http://{ip}:{ports.reports}/v1/instances/i-{ip}",
-                method="PUT",
-                body=body,
-            )
-            eventlet.sleep(0.5)
-
-
-def _call_later(delay_ms: int, call: Callable[[], None]) -> None:
-    eventlet.spawn_after(delay_ms / 1000, call)
-
-
-def _call_http(
-    url: str, *, method: str = "GET", body: dict[str, Any] | None = None
-) -> bool:
-    """Returns whether a call was answered with success."""
-    data = json.dumps(body).encode() if body is not None else None
-    request = urllib.request.Request(url, data=data, method=method)
-    try:
-        urllib.request.urlopen(request, timeout=1).close()
-    except OSError:
-        return False
-    return True
-
-
 class _Operator:
     """Writes configurations and evacuations, again if the store loses them.
 
@@ -267,6 +210,8 @@
     def __init__(self, options: Options) -> None:
         self._options = options
         self._rng = random.Random(options.seed)
+        # Apart, so that the faults of a seed do not depend on the servers.
+        self._server_rng = random.Random(f"servers {options.seed}")
         self._started_s = time.monotonic()
         self._fleet = fleet_module.Fleet(pathlib.Path(options.directory))
         self._ports = packet_fleet.Ports()
@@ -302,14 +247,20 @@
             self._now_s,
         )
         self._operator.change_routes()
-        self._backends = [
-            _Backend(agent, self._ports, self._rng) for agent in self._agents
-        ]
+        self._backends = {
+            agent.name: soak_backend.SoakBackend(
+                ip=agent.ip,
+                data_centre=agent.data_centre,
+                ports=self._ports,
+                rng=self._server_rng,
+                server_rng=self._rng,
+            )
+            for agent in self._agents
+        }
         for instance in self._instances:
             self._start(instance)
-        for backend in self._backends:
-            tasks.spawn("backend", backend.receive_forever)
-            tasks.spawn("reports", backend.report_forever)
+        for backend in self._backends.values():
+            backend.run()
         for balancer in self._balancers:
             tasks.spawn(
                 "readiness", functools.partial(self._check_readiness, balancer)
@@ -326,6 +277,7 @@
         for _ in range(self._options.sessions):
             tasks.spawn("session", self._use_session)
         tasks.spawn("attempts", self._attempt_for_ever)
+        tasks.spawn("servers", self._trouble_servers)
         while self._now_s() < end_s:
             self._play_burst()
             eventlet.sleep(BURST_S + CALM_S * self._rng.uniform(0.8, 1.2))
@@ -387,7 +339,7 @@
         misses = 2
         while True:
             from_s = self._now_s()
-            misses = 0 if _call_http(url) else misses + 1
+            misses = 0 if soak_backend.call_http(url) else misses + 1
             if self._now_s() - from_s > STALL_S:
                 self._disruptions.add(balancer.name, from_s, self._now_s())
             if misses == 0 and balancer not in self._rotation:
@@ -412,8 +364,12 @@
         while True:
             data = self._socket.recv(2048)
             caller = self._callers.get(packets.decode_from_backend(data).flow)
-            if caller is not None:
-                caller.receive(data)
+            if caller is None:
+                continue
+            was_open = caller.state == "open"
+            caller.receive(data)
+            if was_open and caller.state == "reset":
+                self._on_broken(caller)
 
     def _new_flow(
         self, route: int, balancer: Callable[[packet.FlowKey], _Instance | None]
@@ -435,7 +391,7 @@
             flow,
             random.Random(self._next_port),
             send,
-            call_later=_call_later,
+            call_later=soak_backend.call_later,
         )
         self._callers[flow] = caller
         return caller
@@ -449,11 +405,17 @@
         )
 
     def _holder(self, flow: packet.FlowKey) -> _Instance | None:
-        for backend in self._backends:
-            if backend.server.holds(flow):
-                return backend.instance
+        for agent in self._agents:
+            if self._backends[agent.name].server.holds(flow):
+                return agent
         return None
 
+    def _stray_packets(self, flow: packet.FlowKey) -> int:
+        return sum(
+            backend.server.stray_packets.get(flow, 0)
+            for backend in self._backends.values()
+        )
+
     def _wait(self, condition: Callable[[], bool], timeout_s: float) -> None:
         end_s = self._now_s() + timeout_s
         while not condition() and self._now_s() < end_s:
@@ -507,6 +469,7 @@
             self._wait(lambda c=caller: c.state != "opening", 2.0)
             while caller.state == "open":
                 answers = caller.answers
+                strays = self._stray_packets(caller.flow)
                 caller.request()
                 self._wait(
                     lambda c=caller, n=answers: (
@@ -515,7 +478,9 @@
                     ANSWER_TIMEOUT_S,
                 )
                 if caller.answers == answers:
-                    self._on_no_answer(caller)
+                    strays = self._stray_packets(caller.flow) - strays
+                    if caller.state == "open" and strays >= MISROUTED_PACKETS:
+                        self._on_broken(caller)
                     caller.close()
                     break
                 self.exchanges += 1
@@ -523,14 +488,50 @@
             del self._callers[caller.flow]
             eventlet.sleep(0.1)
 
-    def _on_no_answer(self, caller: flow_ends.CallerFlow) -> None:
+    def _on_broken(self, caller: flow_ends.CallerFlow) -> None:
+        """Records a flow that was reset or misrouted while its server lives."""
         agent = self._holder(caller.flow)
         balancer = self._route_packet(caller.flow)
-        if caller.state == "reset" and agent and balancer:
+        if agent and balancer:
             self._broken.append(
-                soak_judge.BrokenFlow(self._now_s(), balancer.name, agent.name)
+                soak_judge.BrokenFlow(
+                    self._now_s(),
+                    balancer.name,
+                    agent.name,
+                    str(caller.flow),
+                    caller.state,
+                )
             )
 
+    # Backend servers and other writers.
+
+    def _trouble_servers(self) -> None:
+        """Ends servers, of which one at most is away, and plays others."""
+        rng = self._server_rng
+        while True:
+            eventlet.sleep(rng.uniform(*SERVER_TROUBLE_S))
+            agent = rng.choice(self._agents)
+            backend = self._backends[agent.name]
+            kind = rng.choice(["leave", "crash", "impersonate", "impersonate"])
+            planned = soak_judge.Disruptions.planned(agent.name)
+            from_s = self._now_s()
+            self._disruptions.add(planned, from_s, math.inf)
+            match kind:
+                case "leave":
+                    self._log_fault(f"server of {agent.name} leaves")
+                    backend.leave()
+                    backend.start_again()
+                case "crash":
+                    self._log_fault(f"server of {agent.name} crashes")
+                    backend.crash()
+                    backend.start_again()
+                case _:
+                    what = backend.impersonate()
+                    self._log_fault(f"other writer at {agent.name}: {what}")
+            # Its own reports prevail after three intervals.
+            until_s = self._now_s() + START_S + SETTLED_S
+            self._disruptions.end(planned, from_s, until_s)
+
     # Faults.
 
     def _post(self, path: str, value: dict[str, Any]) -> None:
--- a/sapphirelift/bench/soak_judge.py
+++ b/sapphirelift/bench/soak_judge.py
@@ -75,17 +75,21 @@
 
 
 class BrokenFlow(NamedTuple):
-    """An open flow that was reset although its backend server lives.
+    """An open flow that was reset or misrouted while its server lives.
 
     Attributes:
-        at_s: When the reset arrived.
+        at_s: When the reset arrived, or the request got no answer.
         balancer: Instance that got the flow's last packet.
         agent: Instance of the backend server.
+        flow: The flow, as daemons log it.
+        state: ``reset``, or ``open`` if its packets went to other servers.
     """
 
     at_s: float
     balancer: str
     agent: str
+    flow: str = ""
+    state: str = "reset"
 
 
 class Disruptions:
