Take a late copy of an opening packet for what it is

What callers saw (in memory): an open flow is reset after a copy of its opening packet has come 1.5 s late, as a balancer delivers it that was paused for a second.

Cause: since an agent took such a copy for the opening of a new flow. It sent it to its server, which accepted it again with the same sequence number; from then on the agent waited for the caller's first acknowledgement, returned all later packets, and the balancer found no owner.

Class: a belief about age decided over a flow that is in use.

Fix: the sequence number of an opening packet that equals that of the live flow makes it a copy, however late. A caller that uses a port again begins with another number.

Evidence: TestLateCopy fails before. The tests of reused ports pass unchanged.

--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -123,7 +123,12 @@
         return min(ahead, (1 << 32) - ahead) <= MAX_ACKNOWLEDGED_STEP
 
     def is_opened_by(self, received: packet.Packet, now_ms: int) -> bool:
-        """Returns whether an opening packet is a copy of this flow's one."""
+        """Returns whether an opening packet is a copy of this flow's one.
+
+        A copy may be held up for any time while its flow is in use.
+        """
+        if self.phase.is_live and received.sequence == self.caller_sequence:
+            return True
         return received.repeats_opening(
             self.caller_sequence, now_ms - self.held_ms
         )
--- a/tests/test_l4_hearsay.py
+++ b/tests/test_l4_hearsay.py
@@ -280,3 +280,27 @@
             if isinstance(action, actions.SendDaemon)
             and isinstance(action.message, messages.Answer)
         ] == [messages.MAY_OWN]
+
+
+class TestLateCopy:
+    """A copy of an opening packet that was held up on its way."""
+
+    # Guards against an open flow that counts as a new, unconfirmed one, and is
+    # reset with its next packet.
+    def test_open_flow_goes_on(self) -> None:
+        """A balancer that was paused delivers the copy after 1.6 s."""
+        case = Case()
+        flow = case.own[0]
+        known = case.host.agent.flows.get(flow.flow)
+        assert known is not None
+        assert known.caller_sequence is not None
+        opening = flow_ends.from_caller(
+            flow.flow, flow_ends.SYN, sequence=known.caller_sequence
+        )
+        for address in ("10.1.0.1", "10.1.0.2"):
+            balancer = messages.Address(address, packet_network.PORT)
+            offer = messages.Open("shop", balancer, (), False, opening)
+            case.host.receive(offer, address)
+            case.net.perform(case.host)
+            case.net.run(100)
+        case.check_own_flows_go_on()
