Give an agent that stops by plan the time to start again

What callers saw (in memory): all open flows of a living server reset because its agent took more than 4 s from its announcement to its next start. After a server had ended without a word, callers of an agent that stops waited instead.

Cause: balancers took an agent that had said that it stops for lost after the contact time, which has nothing to do with how long a planned restart takes; and the agent said the same whether or not its server lived.

Fix: an agent that stops looks at its server's port. If the server is gone, it resets its flows and says so. Otherwise balancers keep the flows for 10 s: the platform gives a process 6 s to exit, and the next one starts within 4 s.

Evidence: both tests of TestStoppedAgent fail before.

--- a/sapphirelift/_packet_agent.py
+++ b/sapphirelift/_packet_agent.py
@@ -101,14 +101,12 @@
 
         The directory entry is removed only if the backend server has left.
         """
-        backend_state = self.core.backend
-        if backend_state.has_announced_end and not backend_state.has_departed:
-            self.core.on_backend_checked(
-                is_refused=self._is_backend_refused(LAST_CHECK_TIMEOUT_S),
-                now_ms=clock.now_ms(),
-                is_last=True,
-            )
-        has_left = backend_state.has_departed
+        self.core.on_backend_checked(
+            is_refused=self._is_backend_refused(LAST_CHECK_TIMEOUT_S),
+            now_ms=clock.now_ms(),
+            is_last=True,
+        )
+        has_left = self.core.backend.has_departed
         self.core.leave(clock.now_ms())
         self.perform()
         self.log.write(
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -321,18 +321,21 @@
         Args:
             is_refused: Whether the connection was refused.
             now_ms: Current time.
-            is_last: Whether the agent stops. Its supervisor stops it once the
-                server has exited, so that one refused connection is enough.
+            is_last: Whether the agent is about to stop, and will not check
+                again; one refused connection is then enough.
         """
+        if is_last:
+            if is_refused and not self.backend.has_departed:
+                self._on_backend_gone(now_ms)
+            return
         if not self.backend.has_announced_end:
             # A later report has shown that the server lives.
             self._departure.end()
             return
-        is_gone = self._departure.is_gone(is_refused=is_refused, now_ms=now_ms)
-        if is_gone or (is_last and is_refused):
+        if self._departure.is_gone(is_refused=is_refused, now_ms=now_ms):
             self._departure.end()
             self._on_backend_gone(now_ms)
-        elif not is_last:
+        else:
             self._check_backend(self._departure.next_check_ms())
 
     def _on_backend_gone(self, now_ms: int) -> None:
--- a/sapphirelift/core/l4/agents.py
+++ b/sapphirelift/core/l4/agents.py
@@ -30,6 +30,9 @@
 # give up on requests after 1.2 s or more, so waiting longer has no benefit.
 LOST_AFTER_MS = 2500
 LOST_AFTER_HELLO_MS = 2000
+# An agent that stops by plan is back within this time: the platform gives its
+# process 6 s to exit, and the next one starts in less than 4 s.
+RESTART_MS = 10_000
 # An agent that is in use, and whose heartbeat is late by a quarter of its
 # interval and this much, is asked for one.
 LATE_MS = 200
@@ -152,7 +155,7 @@
                 # Without a backend server, there are no flows.
                 return False
             case "leaving":
-                return silent_ms <= contact_ms
+                return silent_ms <= max(contact_ms, RESTART_MS)
             case _:
                 return silent_ms <= LOST_AFTER_MS or not (
                     self._is_unanswered_for(LOST_AFTER_HELLO_MS, now_ms)
--- a/tests/test_l4_hearsay.py
+++ b/tests/test_l4_hearsay.py
@@ -127,6 +127,47 @@
         case.check_own_flows_go_on()
 
 
+class TestStoppedAgent:
+    """An agent that is stopped by plan."""
+
+    def stop(self, case: Case) -> None:
+        """Stops the agent as its process does."""
+        host = case.host
+        host.agent.on_backend_checked(
+            is_refused=not host.backend.is_alive,
+            now_ms=case.net.now_ms,
+            is_last=True,
+        )
+        host.agent.leave(case.net.now_ms)
+        case.net.perform(host)
+        case.net.run(50)
+        host.stop_agent()
+
+    # Guards against flows of a living server that are reset because its agent
+    # takes some seconds to stop and to start again.
+    def test_restart_that_takes_long(self) -> None:
+        """The agent has announced that it stops, and that its server lives."""
+        case = Case()
+        self.stop(case)
+        case.net.run(6000)
+        for flow in case.own:
+            flow.request()
+        case.net.run(300)
+        case.host.start_agent()
+        case.net.run(3000)
+        assert case.net.resets == []
+        assert [f.answers for f in case.own] == [1] * len(case.own)
+
+    # Guards against callers that wait for a server that ended without a word.
+    def test_server_that_is_gone(self) -> None:
+        """The agent has looked for it before it stops."""
+        case = Case()
+        case.host.backend.is_alive = False
+        self.stop(case)
+        case.net.run(100)
+        assert {f.state for f in case.own} == {"reset"}
+
+
 class TestReportOfNewStart:
     """A report that names a new start while the former one lives."""
 
