--- a/tests/test_l4_hearsay.py
+++ b/tests/test_l4_hearsay.py
@@ -82,6 +82,20 @@
         case.check_own_flows_go_on()
         assert case.host.agent.state(case.net.now_ms) == "ready"
 
+    # Guards against new flows for a server that has left, as an agent that was
+    # paused takes its last calls in any order.
+    def test_report_that_was_under_way_does_not_refute_it(self) -> None:
+        """Reports refute a notice only once they must have followed it."""
+        case = Case()
+        case.host.is_reporting = False
+        last = case.report()
+        case.announce_end()
+        for number in (1, 2):
+            later = last._replace(number=last.number + number)
+            case.host.agent.on_report(later, case.net.now_ms)
+            case.net.run(100)
+        assert case.host.agent.state(case.net.now_ms) == "closed"
+
     # Guards against flows reset between a server's notice and its exit.
     def test_server_serves_on_until_it_exits(self) -> None:
         """No new flow is opened at it meanwhile."""
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -344,6 +344,55 @@
         assert len(taken) == 1
 
 
+class TestNoticeBody:
+    """Notices of leaving with a body, of which the pages show none."""
+
+    @pytest.mark.parametrize(
+        ("body", "status", "born_ms"),
+        [
+            (b"", "200 OK", [None]),
+            (b"{}", "200 OK", [None]),
+            (b'{"born": 1700000000000}', "200 OK", [1_700_000_000_000]),
+            (b'{"born": "x"}', "400 Bad Request", []),
+            (b"\xff{", "400 Bad Request", []),
+        ],
+    )
+    def test_names_the_start_that_ends(
+        self, body: bytes, status: str, born_ms: list[int | None]
+    ) -> None:
+        """Guards against a living server closed by a notice of another."""
+        notices: list[backend.EndNotice] = []
+        refused: list[str] = []
+        server = http.ReportServer(
+            ("127.0.0.1", 0),
+            subject=SUBJECT,
+            on_report=lambda report: None,
+            on_end=notices.append,
+            on_refused=refused.append,
+        )
+        statuses: list[str] = []
+        environ = {
+            "PATH_INFO": "/v1/instances/i-1",
+            "REQUEST_METHOD": "DELETE",
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+        }
+        server.answer(environ, lambda status, _: statuses.append(status))
+        assert statuses == [status]
+        assert [notice.born_ms for notice in notices] == born_ms
+        assert len(refused) == (not born_ms)
+
+    def test_of_a_former_start_is_ignored(self) -> None:
+        """Guards against a server closed by a notice of its former start."""
+        server = backend.Backend(report_interval_ms=1000)
+        report = backend.Report("i-1", 2000, 1, "shop", "a", 4, False, 0)
+        server.update_from_report(report, 0)
+        assert not server.announce_end(backend.EndNotice("i-1", 1000), 10)
+        assert server.state(10) == "ready"
+        assert server.announce_end(backend.EndNotice("i-1", 2000), 10)
+        assert server.state(10) == "closed"
+
+
 class TestReportLength:
     """Reports whose length is not a number."""
 
