Keep packets from other servers while the agent of their own one is away

What callers and servers saw: with real processes, on and on, all packets of open flows that had moved to another balancer went to a server that does not have the flow, five of each flow within 2 s, while the agent of their own server was being restarted by plan (6 of 6 and 7 of 7 flows). In memory, with five other agents, 20 of each. Nothing else is wrong: no odd report, no change of the configuration; no line names the flow as lost.

Cause: an agent that has been restarted may own flows that it does not know, and said so for as long as it ran. Each packet of a flow whose owner was silent began another search, and each search sent the packet to the servers of all such agents. Restarting agents in turn leaves every one of them in this state.

Here ignorance passed for possible ownership, without end, and an owner that is away for one that may be passed over.

Fix: * While an agent that may own the flow does not answer, at most two of its packets are sent to others in 2.5 s; the platform allows two in 2 s. Callers send the rest again. * What a server has returned, its agent denies for 10 s without asking again. * An agent knows all flows once it has run for the idle timeout and a margin: those that it has not seen may be discarded by then.

Evidence: the three tests of TestAgentsStoppedInTurn fail before.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -52,6 +52,8 @@
 # Reports that a backend server may send beyond one an interval: it repeats
 # those that are not acknowledged, as while its agent starts.
 EXTRA_REPORTS = 4
+# Interval between two calls of ``sweep``.
+SWEEP_MS = 1000
 # Flows of which the backend server is asked in one tick. A socket's default
 # buffer holds about 270 small packets.
 QUESTIONS_PER_TICK = 64
@@ -114,6 +116,8 @@
         self._report_interval_ms = report_interval_ms
         self._started_unix_ms = started_unix_ms
         self._started_ms = now_ms
+        self._swept_ms = now_ms
+        self._observed_ms = 0
         self._has_full_table = is_first_start
         self._is_leaving = False
         # Names its own data centre at most.
@@ -409,6 +413,9 @@
         flow = self.flows.get(received.flow)
         if flow is not None and flow.phase is _Phase.PROBED:
             self._confirm_probed(received.flow, flow)
+        if flow is not None and flow.phase is _Phase.RETURNED:
+            self._remove_flow(received.flow, now_ms)
+            flow = None
         if received.is_syn and received.is_ack:
             self._on_accepted(received, flow, now_ms)
             return
@@ -503,7 +510,12 @@
         is_probe = flow.caller_sequence is None
         balancer = flow.balancer
         phase = flow.phase
-        self._remove_flow(key, now_ms)
+        if is_probe:
+            self._finish_request(flow, now_ms)
+            self.flows.move(key, flow, _Phase.RETURNED)
+            self.flows.touch(key, flow, now_ms)
+        else:
+            self._remove_flow(key, now_ms)
         if is_probe or phase is not _Phase.OPEN:
             # The backend server may never have had this flow.
             missed = messages.Missed(self.identity.address, received.raw)
@@ -743,6 +755,10 @@
         """Handles a non-opening packet of a flow."""
         key = received.flow
         flow = self.flows.get(key)
+        if flow is not None and flow.phase is _Phase.RETURNED:
+            self.counters["packets_missed"] += 1
+            self._return_packet(deliver)
+            return
         if flow is not None and not flow.can_include(received):
             self.counters["packets_of_another_flow"] += 1
             self._return_packet(deliver)
@@ -813,7 +829,7 @@
             verdict = messages.OWNS
         elif phase is _Phase.ENDED:
             verdict = messages.ENDED
-        elif self._has_full_table:
+        elif self._has_full_table or phase is _Phase.RETURNED:
             verdict = messages.OWNS_NOT
         else:
             verdict = messages.MAY_OWN
@@ -1045,7 +1061,7 @@
         self._announce_state_change(now_ms)
 
     def sweep(self, now_ms: int) -> None:
-        """Removes expired requests and flows; to be called every second."""
+        """Removes expired state; to be called every ``SWEEP_MS``."""
         for _, flow in self.flows:
             request_ms = flow.request_ms
             if request_ms is not None and now_ms - request_ms > MAX_REQUEST_MS:
@@ -1055,8 +1071,24 @@
             now_ms, idle_timeout_ms=self._idle_timeout_ms
         ):
             self._finish_request(flow, now_ms)
+        self._complete_table(now_ms)
         self._announce_state_change(now_ms)
 
+    def _complete_table(self, now_ms: int) -> None:
+        """Takes the table for complete once unknown flows have expired."""
+        # Time in which the process was paused does not count.
+        self._observed_ms += min(now_ms - self._swept_ms, 2 * SWEEP_MS)
+        self._swept_ms = now_ms
+        unused_ms = self._idle_timeout_ms + flow_table.IDLE_MARGIN_MS
+        if (
+            not self._has_full_table
+            and self._configuration.revision
+            and self.backend.report is not None
+            and self._observed_ms >= unused_ms
+        ):
+            self._has_full_table = True
+            self._log("flow_table_complete", observed_ms=self._observed_ms)
+
     def _send(
         self, address: messages.Address, message: messages.Message
     ) -> None:
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -11,7 +11,8 @@
 # Backend servers hold up to 2,000 connections, and as many may have ended
 # recently.
 MAX_FLOWS = 8192
-# How long ended flows are kept: an endpoint still answers late packets of its
+# How long ended flows, and those that the backend server does not have, are
+# kept: an endpoint still answers late packets of its
 # peer, which gives up after 8 retransmissions of up to 1.6 s.
 ENDED_MS = 10_000
 # Added to the idle timeout to allow for packets in transit.
@@ -42,6 +43,8 @@
     # backend server has been sent a packet, and has not shown yet whether it
     # has the flow.
     PROBED = "probed"
+    # The backend server has returned a packet of the flow.
+    RETURNED = "returned"
     ENDED = "ended"
 
     @property
@@ -57,7 +60,7 @@
     @property
     def is_counted(self) -> bool:
         """Whether the flow counts as one of the backend server's."""
-        return self not in (Phase.PROBED, Phase.ENDED)
+        return self.is_live or self.is_opening
 
     @property
     def is_live(self) -> bool:
@@ -253,7 +256,8 @@
         discarded = []
         idle_ms = idle_timeout_ms + IDLE_MARGIN_MS
         for key, flow in list(self._flows.items()):
-            limit_ms = ENDED_MS if flow.phase is Phase.ENDED else idle_ms
+            is_over = flow.phase in (Phase.ENDED, Phase.RETURNED)
+            limit_ms = ENDED_MS if is_over else idle_ms
             if now_ms - flow.used_ms > limit_ms:
                 self.remove(key)
                 discarded.append((key, flow))
--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -27,6 +27,11 @@
 # which comes after 200 ms at the earliest.
 LIFETIME_MS = 1500
 MAX_LOOKUPS = 4096
+# The platform allows two packets of a flow to reach other backend servers in
+# 2 s without one that reaches its own. While an agent that may own the flow is
+# silent, no more are sent as probes in this time.
+PROBES_BESIDE_SILENT = 2
+PROBE_WINDOW_MS = 2500
 MAX_PACKETS = 16
 
 
@@ -152,6 +157,10 @@
     def __init__(self, counters: collections.Counter[str]) -> None:
         self._counters = counters
         self._lookups: dict[packet.FlowKey, _Lookup] = {}
+        # Times of the last probes of each flow.
+        self._probe_times_ms: collections.OrderedDict[
+            packet.FlowKey, collections.deque[int]
+        ] = collections.OrderedDict()
 
     @property
     def has_pending(self) -> bool:
@@ -189,7 +198,9 @@
         search = self._lookups.get(received.flow)
         if search is not None:
             search.packets.append(received)
-            if search.probed_agent is not None:
+            if search.probed_agent is not None and self._may_probe(
+                received.flow, search, now_ms
+            ):
                 return [Probe(search.probed_agent, received)]
             return []
         if len(self._lookups) >= MAX_LOOKUPS:
@@ -324,6 +335,26 @@
         took_ms = now_ms - search.started_ms
         return [Found(flow, agent, list(search.packets), took_ms)]
 
+    def _may_probe(
+        self, flow: packet.FlowKey, search: _Lookup, now_ms: int
+    ) -> bool:
+        """Returns whether to send a packet as a probe, and counts it if so."""
+        times_ms = self._probe_times_ms.pop(flow, None)
+        if times_ms is None:
+            times_ms = collections.deque(maxlen=PROBES_BESIDE_SILENT)
+        self._probe_times_ms[flow] = times_ms
+        if len(self._probe_times_ms) > MAX_LOOKUPS:
+            self._probe_times_ms.popitem(last=False)
+        is_at_limit = (
+            len(times_ms) == PROBES_BESIDE_SILENT
+            and now_ms - times_ms[0] <= PROBE_WINDOW_MS
+        )
+        if search.silent and is_at_limit:
+            self._counters["probes_withheld"] += 1
+            return False
+        times_ms.append(now_ms)
+        return True
+
     def _end_probes(
         self,
         flow: packet.FlowKey,
@@ -361,7 +392,7 @@
             search.awaiting_answer.update(wave)
             search.asked_ms = now_ms
             return [SendAsk(address, flow) for address in wave]
-        if search.possible_owners:
+        if search.possible_owners and self._may_probe(flow, search, now_ms):
             search.probed_agent = search.possible_owners[0]
             search.asked_ms = now_ms
             return [Probe(search.probed_agent, search.packets[-1])]
--- a/tests/test_l4_hearsay.py
+++ b/tests/test_l4_hearsay.py
@@ -18,9 +18,9 @@
 class Case:
     """A network with open flows, and one of its servers with its agent."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, agents: int = 3) -> None:
         self.net = packet_network.Network(1)
-        for _ in range(3):
+        for _ in range(agents):
             self.net.add_agent()
         for _ in range(2):
             self.net.add_balancer()
@@ -182,6 +182,71 @@
         assert {f.state for f in case.own} == {"reset"}
 
 
+class TestAgentsStoppedInTurn:
+    """Agents that are restarted by plan, one while others do not know all."""
+
+    # Guards against packets that go to other backend servers while the agent
+    # of their own one is away.
+    def test_packets_wait_for_the_agent_that_is_away(self) -> None:
+        """Two packets of a flow at other servers in 2 s are no rule broken."""
+        case = Case(agents=6)
+        for host in case.net.agents.values():
+            if host is not case.host:
+                host.stop_agent()
+                host.start_agent()
+        case.net.run(500)
+        case.host.agent.leave(case.net.now_ms)
+        case.net.perform(case.host)
+        case.net.run(50)
+        case.host.stop_agent()
+        case.restart_balancers()
+        case.net.run(500)
+        for flow in case.own:
+            flow.request()
+        case.net.run(2000)
+        strays = [case.net.stray_packets(f.flow) for f in case.own]
+        assert max(strays) <= 2
+        case.net.run(1500)
+        case.host.start_agent()
+        case.net.run(3000)
+        assert case.net.resets == []
+        assert [f.answers for f in case.own] == [1] * len(case.own)
+
+    # Guards against a server that gets a packet of the same foreign flow again
+    # with each search.
+    def test_server_returns_a_flow_once(self) -> None:
+        """What it has returned once, its agent denies from then on."""
+        case = Case(agents=3)
+        others = [h for h in case.net.agents.values() if h is not case.host]
+        for host in others:
+            host.stop_agent()
+            host.start_agent()
+        flow = case.own[0].flow
+        balancer = messages.Address("10.1.0.1", packet_network.PORT)
+        data = flow_ends.from_caller(flow, flow_ends.ACK, acknowledged=1)
+        for _ in range(3):
+            others[0].receive(messages.Deliver(balancer, data), balancer.ip)
+            case.net.perform(others[0])
+            case.net.run(50)
+        assert [h.backend.stray_packets[flow] for h in others] == [1, 1]
+
+    # Guards against agents that stay in doubt for as long as they run.
+    def test_agent_knows_all_flows_after_the_idle_timeout(self) -> None:
+        """Flows that have not been used since its start have expired."""
+        case = Case()
+        case.host.stop_agent()
+        case.host.start_agent()
+        for _ in range(25):
+            case.net.run(1000)
+            for flow in case.own:
+                flow.request()
+        case.net.run(500)
+        assert case.host.agent.dump(case.net.now_ms)["has_full_table"]
+        case.restart_balancers()
+        case.net.run(500)
+        case.check_own_flows_go_on()
+
+
 class TestReportOfNewStart:
     """A report that names a new start while the former one lives."""
 
