Let planned restarts of the soak take up to five seconds; watch for misrouting

A request whose packets reach other servers three times in two seconds while its own gets none now counts as soon as that is seen, and not only if it is never answered.

--- a/sapphirelift/bench/soak.py
+++ b/sapphirelift/bench/soak.py
@@ -49,6 +49,8 @@
 # Longer than the operators take to write again what the store has lost.
 MAX_REWRITE_S = 1.5
 RESTART_S = 0.6
+# The same for a planned stop.
+PLANNED_RESTART_S = (0.3, 5.0)
 # A started daemon is ready within this time.
 START_S = 2.0
 ANSWER_TIMEOUT_S = 6.0
@@ -60,8 +62,9 @@
 SERVER_TROUBLE_S = (1.0, 4.0)
 SETTLED_S = 4.0
 # Packets of one request at servers that do not have its flow, from which it
-# counts as misrouted.
+# counts as misrouted if its own server has got none after this time.
 MISROUTED_PACKETS = 3
+MISROUTED_S = 2.0
 TICK_S = 0.05
 
 
@@ -416,6 +419,12 @@
             for backend in self._backends.values()
         )
 
+    def _requests_received(self, flow: packet.FlowKey) -> int:
+        agent = self._holder(flow)
+        if agent is None:
+            return 0
+        return self._backends[agent.name].server.requests.get(flow, 0)
+
     def _wait(self, condition: Callable[[], bool], timeout_s: float) -> None:
         end_s = self._now_s() + timeout_s
         while not condition() and self._now_s() < end_s:
@@ -471,16 +480,23 @@
                 answers = caller.answers
                 strays = self._stray_packets(caller.flow)
                 caller.request()
-                self._wait(
-                    lambda c=caller, n=answers: (
-                        c.answers > n or c.state != "open"
-                    ),
-                    ANSWER_TIMEOUT_S,
-                )
+                received = self._requests_received(caller.flow)
+
+                def is_over(
+                    c: flow_ends.CallerFlow = caller, n: int = answers
+                ) -> bool:
+                    return c.answers > n or c.state != "open"
+
+                self._wait(is_over, MISROUTED_S)
+                if (
+                    not is_over()
+                    and received == self._requests_received(caller.flow)
+                    and self._stray_packets(caller.flow) - strays
+                    >= MISROUTED_PACKETS
+                ):
+                    self._on_broken(caller)
+                self._wait(is_over, ANSWER_TIMEOUT_S - MISROUTED_S)
                 if caller.answers == answers:
-                    strays = self._stray_packets(caller.flow) - strays
-                    if caller.state == "open" and strays >= MISROUTED_PACKETS:
-                        self._on_broken(caller)
                     caller.close()
                     break
                 self.exchanges += 1
@@ -574,9 +590,17 @@
             return
         self._log_fault(f"stop {instance.name}")
         planned = soak_judge.Disruptions.planned(instance.name)
-        self._end(instance, signal.SIGTERM, planned)
+        away_s = self._server_rng.uniform(*PLANNED_RESTART_S)
+        self._end(instance, signal.SIGTERM, planned, away_s=away_s)
 
-    def _end(self, instance: _Instance, number: int, disrupted: str) -> None:
+    def _end(
+        self,
+        instance: _Instance,
+        number: int,
+        disrupted: str,
+        *,
+        away_s: float = RESTART_S,
+    ) -> None:
         """Ends a daemon and starts it again after a moment."""
         if instance.is_stopped_by_soak:
             return
@@ -589,7 +613,7 @@
         process.send_signal(number)
         while process.poll() is None:
             eventlet.sleep(0.02)
-        eventlet.sleep(RESTART_S)
+        eventlet.sleep(away_s)
         self._start(instance)
         self._disruptions.end(disrupted, from_s, self._now_s() + START_S)
 
