Ignore the farewell of an agent that has started again

What callers saw (in memory): a balancer takes the open flows of a living agent for lost until that agent's next heartbeat.

Cause: a late "gone" of a former start put the address on the list of departed agents, although the balancer had already heard a newer start there.

Fix: such an announcement is outdated like any late heartbeat.

Evidence: TestLateAnnouncement fails before.

--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -1076,16 +1076,19 @@
 
     def _on_gone(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
         """Removes an agent that stops together with its backend server."""
-        self._unconfirmed_agents.pop(heartbeat.address, None)
-        self._departed_agents[heartbeat.address] = _DepartedAgent(
-            heartbeat.incarnation, now_ms
-        )
         known = self.agents.get(heartbeat.address)
-        if known is not None and not agents.is_outdated(
+        if known is not None and agents.is_outdated(
             heartbeat.incarnation,
             newest=known.heartbeat.incarnation,
             newest_age_ms=now_ms - known.heartbeat_ms,
         ):
+            self.counters["heartbeats_overtaken"] += 1
+            return
+        self._unconfirmed_agents.pop(heartbeat.address, None)
+        self._departed_agents[heartbeat.address] = _DepartedAgent(
+            heartbeat.incarnation, now_ms
+        )
+        if known is not None:
             self.agents.remove(heartbeat.address)
             self.watch.invalidate()
             self._log(
--- a/tests/test_l4_hearsay.py
+++ b/tests/test_l4_hearsay.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sapphirelift.core.l4 import actions
+from sapphirelift.core.l4 import agents
 from sapphirelift.core.l4 import backend
 from sapphirelift.core.l4 import messages
 from sapphirelift.standins import flow_ends
@@ -18,9 +19,9 @@
 class Case:
     """A network with open flows, and one of its servers with its agent."""
 
-    def __init__(self, *, agents: int = 3) -> None:
+    def __init__(self, *, hosts: int = 3) -> None:
         self.net = packet_network.Network(1)
-        for _ in range(agents):
+        for _ in range(hosts):
             self.net.add_agent()
         for _ in range(2):
             self.net.add_balancer()
@@ -182,6 +183,27 @@
         assert {f.state for f in case.own} == {"reset"}
 
 
+class TestLateAnnouncement:
+    """An agent's last message, which arrives after its next start."""
+
+    # Guards against flows that count as lost with the former start.
+    def test_flows_of_the_next_start_go_on(self) -> None:
+        """Its address is that of the start which lives."""
+        case = Case()
+        agent = case.host.agent
+        late = agent.heartbeat(case.net.now_ms)._replace(state=agents.GONE)
+        case.host.stop_agent()
+        case.host.start_agent()
+        case.net.run(200)
+        for balancer in case.net.balancers.values():
+            balancer.core.on_message(late, case.net.now_ms)
+        for balancer in case.net.balancers.values():
+            assert not balancer.core._is_lost(
+                case.host.address, case.net.now_ms
+            )
+        case.check_own_flows_go_on()
+
+
 class TestAgentsStoppedInTurn:
     """Agents that are restarted by plan, one while others do not know all."""
 
@@ -189,7 +211,7 @@
     # of their own one is away.
     def test_packets_wait_for_the_agent_that_is_away(self) -> None:
         """Two packets of a flow at other servers in 2 s are no rule broken."""
-        case = Case(agents=6)
+        case = Case(hosts=6)
         for host in case.net.agents.values():
             if host is not case.host:
                 host.stop_agent()
@@ -216,7 +238,7 @@
     # with each search.
     def test_server_returns_a_flow_once(self) -> None:
         """What it has returned once, its agent denies from then on."""
-        case = Case(agents=3)
+        case = Case(hosts=3)
         others = [h for h in case.net.agents.values() if h is not case.host]
         for host in others:
             host.stop_agent()
