Settle for a server that kept a probe only if nobody else may have the flow

Found by reading the change again: with another possible owner silent or not yet asked, the one agent whose server had not returned a packet was taken for the owner. The search now ends without an owner, and the next packet asks again.

--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -356,18 +356,17 @@
         return True
 
     def _end_probes(
-        self,
-        flow: packet.FlowKey,
-        unreturned: list[messages.Address],
-        now_ms: int,
+        self, flow: packet.FlowKey, search: _Lookup, now_ms: int
     ) -> list[Step]:
         """Ends a search in which servers have not returned the packet.
 
-        One of several has the flow. It has got the packet, and will be the
-        only one to claim the flow once it has answered the caller.
+        If only one has kept it and no other agent is left, that one is the
+        owner. Otherwise the owner has either got the packet, and will claim
+        the flow once it has answered the caller, or is silent.
         """
-        if len(unreturned) == 1:
-            return self._end_at(flow, unreturned[0], now_ms)
+        is_settled = not search.possible_owners and not search.silent
+        if is_settled and len(search.unreturned) == 1:
+            return self._end_at(flow, search.unreturned[0], now_ms)
         del self._lookups[flow]
         self._counters["probes_undecided"] += 1
         return []
@@ -397,7 +396,7 @@
             search.asked_ms = now_ms
             return [Probe(search.probed_agent, search.packets[-1])]
         if search.unreturned:
-            return self._end_probes(flow, search.unreturned, now_ms)
+            return self._end_probes(flow, search, now_ms)
         if search.ended_at is not None:
             return self._end_at(flow, search.ended_at, now_ms)
         del self._lookups[flow]
