--- a/sapphirelift/_directory.py
+++ b/sapphirelift/_directory.py
@@ -44,12 +44,14 @@
     Attributes:
         role: ``balancer`` or ``agent``.
         incarnation: Number that grows with each start of the daemon.
+        is_stopping: Whether the daemon stops by plan, to start again.
     """
 
     role: str
     ip: str
     port: Annotated[int, msgspec.Meta(gt=0, lt=65_536)]
     incarnation: int
+    is_stopping: bool = False
 
     @property
     def address(self) -> messages.Address:
@@ -157,6 +159,21 @@
         except (errors.SapphireliftError, eventlet.Timeout) as error:
             self._log.write("entry_not_removed", reason=str(error))
 
+    def mark_stopping(self, *, timeout_s: float) -> None:
+        """Tells daemons that start meanwhile of a planned stop.
+
+        Args:
+            timeout_s: Longest time to wait for the store.
+        """
+        value = msgspec.structs.replace(self._entry, is_stopping=True)
+        try:
+            with eventlet.Timeout(timeout_s):
+                self._store.replace(
+                    KIND, self._name, msgspec.to_builtins(value)
+                )
+        except (errors.SapphireliftError, eventlet.Timeout) as error:
+            self._log.write("entry_not_marked", reason=str(error))
+
     def _update_entry(self) -> None:
         try:
             while self._is_listed != self._should_be_listed:
--- a/sapphirelift/_packet_agent.py
+++ b/sapphirelift/_packet_agent.py
@@ -26,6 +26,8 @@
 # or after 100 ms if the instance has used up its CPU quota.
 CHECK_TIMEOUT_S = 0.5
 LAST_CHECK_TIMEOUT_S = 0.2
+# The store answers within some milliseconds, and a slow one within 200.
+MARK_TIMEOUT_S = 0.5
 # Refused reports are logged at most once within this time.
 REFUSAL_LOG_INTERVAL_MS = 1000
 
@@ -115,9 +117,16 @@
             flows=self.core.flows.open_flows,
         )
         self.log.flush()
+        # Packets are still handled meanwhile.
         if has_left:
             self._directory.remove(timeout_s=self.settings.stop_timeout_s / 3)
-        eventlet.sleep(LINGER_S)
+        else:
+            self._directory.mark_stopping(timeout_s=MARK_TIMEOUT_S)
+        eventlet.sleep(LINGER_S / 2)
+        # The first announcement may have been lost.
+        self.core.announce(clock.now_ms())
+        self.perform()
+        eventlet.sleep(LINGER_S / 2)
         self.log_stopped()
 
     def apply_durations(self) -> None:
--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -349,7 +349,9 @@
             if entry.role == "balancer":
                 self.core.add_peer(entry.address, now_ms)
             elif entry.role == "agent":
-                self.core.add_agent(entry.address, now_ms)
+                self.core.add_agent(
+                    entry.address, now_ms, is_stopping=entry.is_stopping
+                )
         self.core.has_directory = True
         self.perform()
 
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -188,8 +188,7 @@
         self._log("resumed", held=len(held), flows=self.flows.open_flows)
         for key, flow in held:
             self._abandon_open(key, flow, "stale", now_ms)
-        for address in self.balancers.all():
-            self._send_heartbeat(address, now_ms)
+        self.announce(now_ms)
 
     # The backend server.
 
@@ -352,11 +351,13 @@
             flows=self.flows.open_flows,
         )
         for key, flow in list(self.flows):
-            if flow.phase.is_live:
+            if flow.phase is _Phase.OPEN:
+                # Not a flow that is only accepted: its caller may have taken
+                # the acceptance of another server.
                 self.counters["resets_backend_left"] += 1
                 self._log_reset(key, flow, "backend_left", now_ms)
                 self._actions.append(
-                    actions.ResetCaller(key, flow.next_sequence)
+                    actions.ResetCaller(key, flow.caller_acknowledged)
                 )
             elif flow.phase.is_opening:
                 self._abandon_open(key, flow, agents.UNAVAILABLE, now_ms)
@@ -388,9 +389,18 @@
             report_number=report.number if report is not None else None,
         )
         self._state = state
+        self.announce(now_ms)
+
+    def announce(self, now_ms: int) -> None:
+        """Sends heartbeats to all balancers now."""
         for address in self.balancers.all():
             self._send_heartbeat(address, now_ms)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether it has announced a stop while its server lives on."""
+        return self._is_leaving and not self.backend.has_departed
+
     def leave(self, now_ms: int) -> None:
         """Announces that the agent is about to stop.
 
@@ -811,6 +821,11 @@
         first_byte = (flow.initial_sequence + 1) & 0xFFFFFFFF
         if received.is_reset or received.acknowledged == first_byte:
             return True
+        if not self._has_full_table and flow_table.is_near(
+            received.acknowledged, first_byte
+        ):
+            # A late copy of the opening of a flow that is older than the agent.
+            return True
         self.counters["opened_elsewhere"] += 1
         self._return_packet(deliver)
         return False
@@ -824,8 +839,9 @@
         self, ask: messages.Ask, sender: messages.Address, now_ms: int
     ) -> None:
         """Answers a balancer whether this agent owns a flow."""
-        phase = self._phase_of(ask.flow)
-        if phase is not None and phase.is_live:
+        flow = self.flows.get(ask.flow)
+        phase = flow.phase if flow is not None else None
+        if flow is not None and flow.is_claimed:
             verdict = messages.OWNS
         elif phase is _Phase.ENDED:
             verdict = messages.ENDED
@@ -836,22 +852,46 @@
         answer = messages.Answer(ask.flow, self.identity.address, verdict)
         self._send(sender, answer)
 
-    def _phase_of(self, key: packet.FlowKey) -> _Phase | None:
-        flow = self.flows.get(key)
-        return flow.phase if flow is not None else None
-
     def on_ask_many(self, ask: messages.AskMany) -> None:
         """Answers a balancer which of several flows this agent owns."""
-        phases = {key: self._phase_of(key) for key in ask.flows}
+        known = {
+            key: flow
+            for key in ask.flows
+            if (flow := self.flows.get(key)) is not None
+        }
         answer = messages.AnswerMany(
             self.identity.address,
-            tuple(key for key, p in phases.items() if p and p.is_live),
+            tuple(key for key, flow in known.items() if flow.is_claimed),
             self._has_full_table,
-            tuple(key for key, p in phases.items() if p is _Phase.ENDED),
+            tuple(
+                key for key, flow in known.items() if flow.phase is _Phase.ENDED
+            ),
             ask.number,
         )
         self._send(ask.balancer, answer)
 
+    def on_remembered(
+        self, remembered: messages.Remembered, now_ms: int
+    ) -> None:
+        """Learns of flows that it owned before it started again.
+
+        The backend server returns the packets of those that it does not have.
+        """
+        if self._has_full_table:
+            return
+        for key in remembered.flows:
+            if self.flows.get(key) is not None:
+                continue
+            flow = flow_table.Flow(
+                _Phase.PROBED,
+                remembered.balancer,
+                now_ms,
+                accepted_ms=now_ms,
+                is_remembered=True,
+            )
+            self._add_flow(key, flow, now_ms)
+            self.counters["flows_remembered"] += 1
+
     # Load.
 
     def _update_average_active_requests(self, now_ms: int) -> None:
--- a/sapphirelift/core/l4/agents.py
+++ b/sapphirelift/core/l4/agents.py
@@ -155,7 +155,9 @@
                 # Without a backend server, there are no flows.
                 return False
             case "leaving":
-                return silent_ms <= max(contact_ms, RESTART_MS)
+                return silent_ms <= owner_timeout_ms(
+                    is_stopping=True, contact_ms=contact_ms
+                )
             case _:
                 return silent_ms <= LOST_AFTER_MS or not (
                     self._is_unanswered_for(LOST_AFTER_HELLO_MS, now_ms)
@@ -174,6 +176,16 @@
         )
 
 
+def owner_timeout_ms(*, is_stopping: bool, contact_ms: int) -> int:
+    """Returns for how long a silent agent may own flows.
+
+    Args:
+        is_stopping: Whether it has announced a planned stop.
+        contact_ms: The time for an agent of which nothing is known.
+    """
+    return max(contact_ms, RESTART_MS) if is_stopping else contact_ms
+
+
 def is_outdated(incarnation: int, *, newest: int, newest_age_ms: int) -> bool:
     """Returns whether a message is of an earlier start than the newest one.
 
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import itertools
 import random
 from typing import NamedTuple
 
@@ -34,6 +35,10 @@
 # design size.
 MAX_OWNERS = 60_000
 MAX_OPENINGS = 4096
+# Flows of which an agent is reminded after its restart, and those in one
+# message of 1 KB. A backend server holds up to 2,000.
+MAX_REMEMBERED = 2000
+REMEMBERED_IN_MESSAGE = 64
 # For this long after its start, a balancer without agents drops opening packets
 # instead of resetting them, because heartbeats may not have arrived yet.
 SETTLE_MS = 3000
@@ -146,6 +151,18 @@
     since_ms: int
 
 
+class _UnconfirmedAgent(NamedTuple):
+    """An agent known only by its address.
+
+    Attributes:
+        found_ms: When its address was found.
+        is_stopping: Whether it has announced a planned stop.
+    """
+
+    found_ms: int
+    is_stopping: bool
+
+
 class _NewerReplica(NamedTuple):
     """A peer that has announced state that this balancer lacks.
 
@@ -231,7 +248,7 @@
         # Peers that the store answers, by their own word, and when.
         self._peers_with_store: dict[messages.Address, int] = {}
         self._departed_agents: dict[messages.Address, _DepartedAgent] = {}
-        self._unconfirmed_agents: dict[messages.Address, int] = {}
+        self._unconfirmed_agents: dict[messages.Address, _UnconfirmedAgent] = {}
         self._started_ms = now_ms
         self._owners: collections.OrderedDict[packet.FlowKey, _Owner] = (
             collections.OrderedDict()
@@ -399,20 +416,41 @@
         if opening is not None and opening.is_opened_by(received, now_ms):
             self._on_retransmitted_syn(flow, opening, now_ms)
             return
-        self._forget_former_flow(flow)
-        self._open(received, now_ms)
+        former = self._forget_former_flow(flow)
+        self._open(received, now_ms, former=former)
 
-    def _forget_former_flow(self, flow: packet.FlowKey) -> None:
+    def _forget_former_flow(
+        self, flow: packet.FlowKey
+    ) -> messages.Address | None:
         """Forgets what is known of a flow that the caller opens anew.
 
         Its former owner may serve another service by now, or the route may
         lead to another one.
+
+        Returns:
+            The former owner, None if it is not known.
         """
-        self._owners.pop(flow, None)
+        owner = self._owners.pop(flow, None)
         self._openings.pop(flow, None)
         self._lookups.cancel(flow)
+        return owner.address if owner is not None else None
 
-    def _open(self, received: packet.Packet, now_ms: int) -> None:
+    def _open(
+        self,
+        received: packet.Packet,
+        now_ms: int,
+        *,
+        former: messages.Address | None,
+    ) -> None:
+        """Sends an opening packet to the best agent.
+
+        Args:
+            received: The packet.
+            now_ms: Current time.
+            former: Agent that owned a flow of the same addresses and ports. If
+                it may take the flow it comes first, as it alone can tell
+                whether the packet is a late copy.
+        """
         flow = received.flow
         if not self._freshness.is_fresh(self._freshness.last_observed_ms):
             self.counters["opens_dropped_after_pause"] += 1
@@ -451,6 +489,9 @@
         if len(self._openings) >= MAX_OPENINGS:
             self.counters["opens_dropped_table_full"] += 1
             return
+        for agent in found:
+            if agent.address == former:
+                ranked = [agent, *(a for a in ranked if a is not agent)]
         opening = _Opening(
             received.raw,
             service,
@@ -666,6 +707,7 @@
                 and known_agents <= MAX_ASKED_AGENTS,
                 can_resolve=len(self.agents) >= resolver.MIN_AGENTS,
                 belief=belief,
+                is_owner_stopping=self._is_any_owner_stopping(now_ms),
             ),
         )
 
@@ -704,10 +746,24 @@
         """Returns agents known only by their address that may own a flow."""
         return [
             address
-            for address, found_ms in self._unconfirmed_agents.items()
-            if now_ms - found_ms <= self.contact_ms
+            for address, found in self._unconfirmed_agents.items()
+            if now_ms - found.found_ms
+            <= agents.owner_timeout_ms(
+                is_stopping=found.is_stopping, contact_ms=self.contact_ms
+            )
         ]
 
+    def _is_any_owner_stopping(self, now_ms: int) -> bool:
+        """Returns whether a silent agent is being restarted by plan."""
+        return any(
+            agent.heartbeat.state == agents.LEAVING
+            and agent.may_own(now_ms, contact_ms=self.contact_ms)
+            for agent in self.agents
+        ) or any(
+            self._unconfirmed_agents[address].is_stopping
+            for address in self._unconfirmed_owners(now_ms)
+        )
+
     def _apply_lookup_steps(
         self, now_ms: int, steps: list[lookup.Step]
     ) -> None:
@@ -1045,10 +1101,26 @@
         listed = 0
         if is_new:
             listed = LISTED_TO_NEW_AGENT
+            if previous is not None and not heartbeat.has_full_table:
+                self._remind(heartbeat.address)
         elif self._rng.random() < LISTING_SHARE:
             listed = LISTED_TO_KNOWN_AGENT
         self._acknowledge(heartbeat, listed=listed, is_answer=True)
 
+    def _remind(self, address: messages.Address) -> None:
+        """Tells an agent that has started again which flows it owned."""
+        newest = (
+            flow
+            for flow, owner in reversed(self._owners.items())
+            if owner.address == address
+        )
+        flows = tuple(itertools.islice(newest, MAX_REMEMBERED))
+        for first in range(0, len(flows), REMEMBERED_IN_MESSAGE):
+            message = messages.Remembered(
+                self._address, flows[first : first + REMEMBERED_IN_MESSAGE]
+            )
+            self._actions.append(actions.SendDaemon(address, message))
+
     def on_pulse(
         self, pulse: messages.Pulse, sender: messages.Address, now_ms: int
     ) -> None:
@@ -1185,8 +1257,20 @@
             self._log("peer_found", ip=address.ip)
             self._send_revisions(address, is_reply=False)
 
-    def add_agent(self, address: messages.Address, now_ms: int) -> None:
-        """Sends a hello to an agent that has sent no heartbeat yet."""
+    def add_agent(
+        self,
+        address: messages.Address,
+        now_ms: int,
+        *,
+        is_stopping: bool = False,
+    ) -> None:
+        """Sends a hello to an agent that has sent no heartbeat yet.
+
+        Args:
+            address: Its address.
+            now_ms: Current time.
+            is_stopping: Whether it is known to have announced a planned stop.
+        """
         if (
             self.agents.get(address) is not None
             or address in self._unconfirmed_agents
@@ -1194,7 +1278,9 @@
         ):
             return
         if len(self._unconfirmed_agents) < agents.MAX_AGENTS:
-            self._unconfirmed_agents[address] = now_ms
+            self._unconfirmed_agents[address] = _UnconfirmedAgent(
+                now_ms, is_stopping
+            )
             self._send_hello(address)
 
     def known_agents(self) -> list[messages.Address]:
@@ -1473,8 +1559,8 @@
                 agent=agent.name,
                 silent_ms=now_ms - agent.last_heard_ms,
             )
-        for address, found_ms in list(self._unconfirmed_agents.items()):
-            if now_ms - found_ms > agents.FORGET_AFTER_MS:
+        for address, found in list(self._unconfirmed_agents.items()):
+            if now_ms - found.found_ms > agents.FORGET_AFTER_MS:
                 del self._unconfirmed_agents[address]
         for address, departed in list(self._departed_agents.items()):
             if now_ms - departed.since_ms > agents.FORGET_AFTER_MS:
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -91,6 +91,8 @@
             as the sequence number of a reset; 0 before the first one.
         caller_ack: Last packet of the caller that only acknowledges; empty
             before the first one.
+        is_remembered: Whether a balancer has delivered packets of the flow to
+            this agent before it started.
         request_ms: When the request in progress began, None if there is none.
     """
 
@@ -106,14 +108,15 @@
     accepted_ms: int = 0
     caller_acknowledged: int = 0
     caller_ack: bytes = b""
+    is_remembered: bool = False
     request_ms: int | None = None
 
     @property
-    def next_sequence(self) -> int:
-        """Next sequence number that the caller expects; 0 if unknown."""
-        if not self.caller_acknowledged and self.initial_sequence is not None:
-            return (self.initial_sequence + 1) & 0xFFFFFFFF
-        return self.caller_acknowledged
+    def is_claimed(self) -> bool:
+        """Whether the agent says that it owns the flow."""
+        return self.phase.is_live or (
+            self.phase is Phase.PROBED and self.is_remembered
+        )
 
     def can_include(self, received: packet.Packet) -> bool:
         """Returns whether a packet of the caller can belong to this flow.
@@ -122,8 +125,7 @@
         """
         if not (self.caller_acknowledged and received.is_ack):
             return True
-        ahead = (received.acknowledged - self.caller_acknowledged) % (1 << 32)
-        return min(ahead, (1 << 32) - ahead) <= MAX_ACKNOWLEDGED_STEP
+        return is_near(received.acknowledged, self.caller_acknowledged)
 
     def is_opened_by(self, received: packet.Packet, now_ms: int) -> bool:
         """Returns whether an opening packet is a copy of this flow's one.
@@ -137,6 +139,12 @@
         )
 
 
+def is_near(sequence: int, other: int) -> bool:
+    """Returns whether two acknowledgement numbers can be of one flow."""
+    ahead = (sequence - other) % (1 << 32)
+    return min(ahead, (1 << 32) - ahead) <= MAX_ACKNOWLEDGED_STEP
+
+
 class FlowTable:
     """Bounded table of flows in least recently used order.
 
--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -29,7 +29,8 @@
 MAX_LOOKUPS = 4096
 # The platform allows two packets of a flow to reach other backend servers in
 # 2 s without one that reaches its own. While an agent that may own the flow is
-# silent, no more are sent as probes in this time.
+# silent, no more are sent as probes in this time, and none if the agent is
+# being restarted by plan.
 PROBES_BESIDE_SILENT = 2
 PROBE_WINDOW_MS = 2500
 MAX_PACKETS = 16
@@ -127,6 +128,7 @@
         ended_at: Agent at which the flow has ended, None if none has said so.
             It owns the flow unless another agent has one of the same port.
         belief: What was believed about the owner before the search.
+        is_owner_stopping: Whether a possible owner is being restarted by plan.
     """
 
     packets: collections.deque[packet.Packet]
@@ -149,6 +151,7 @@
     resolver: messages.Address | None = None
     ended_at: messages.Address | None = None
     belief: ownership.Belief | None = None
+    is_owner_stopping: bool = False
 
 
 class Lookups:
@@ -182,6 +185,7 @@
         knows_all_agents: bool = True,
         can_resolve: bool = False,
         belief: ownership.Belief | None = None,
+        is_owner_stopping: bool = False,
     ) -> list[Step]:
         """Begins a search, or adds a packet to the flow's current search.
 
@@ -194,6 +198,8 @@
             can_resolve: Whether a resolver may be asked if none of the
                 likeliest agents owns the flow.
             belief: What has been believed about its owner until now.
+            is_owner_stopping: Whether an agent that may own it is being
+                restarted by plan.
         """
         search = self._lookups.get(received.flow)
         if search is not None:
@@ -215,6 +221,7 @@
             knows_all_agents,
             can_resolve=can_resolve,
             belief=belief,
+            is_owner_stopping=is_owner_stopping,
         )
         return self._advance(received.flow, now_ms)
 
@@ -349,7 +356,7 @@
             len(times_ms) == PROBES_BESIDE_SILENT
             and now_ms - times_ms[0] <= PROBE_WINDOW_MS
         )
-        if search.silent and is_at_limit:
+        if search.silent and (is_at_limit or search.is_owner_stopping):
             self._counters["probes_withheld"] += 1
             return False
         times_ms.append(now_ms)
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -176,6 +176,17 @@
     number: int = 0
 
 
+class Remembered(NamedTuple):
+    """Tells an agent that has started again which flows it owned before.
+
+    Attributes:
+        flows: Flows whose packets the sender has delivered to it.
+    """
+
+    balancer: Address
+    flows: tuple[packet.FlowKey, ...]
+
+
 class Resolve(NamedTuple):
     """Asks another balancer to find the owner of a flow."""
 
@@ -364,6 +375,7 @@
     | Resolve
     | Resolved
     | Pulse
+    | Remembered
 )
 _KINDS: tuple[type[Any], ...] = (
     Open,
@@ -383,6 +395,7 @@
     Resolve,
     Resolved,
     Pulse,
+    Remembered,
 )
 _ADDRESS_FIELDS = [
     [
--- a/sapphirelift/platform/dispatch.py
+++ b/sapphirelift/platform/dispatch.py
@@ -42,6 +42,8 @@
             core.on_ask(message, sender, now_ms)
         case messages.AskMany():
             core.on_ask_many(message)
+        case messages.Remembered():
+            core.on_remembered(message, now_ms)
         case messages.HeartbeatAck():
             core.on_ack(message, now_ms)
         case messages.Hello():
--- a/sapphirelift/standins/flow_ends.py
+++ b/sapphirelift/standins/flow_ends.py
@@ -98,11 +98,15 @@
     Attributes:
         sequence: First sequence number that the caller has not acknowledged.
         expected: Next sequence number expected from the caller.
+        initial_sequence: Its own first sequence number.
+        caller_sequence: That of the caller's opening packet.
         is_open: Whether the handshake is complete.
     """
 
     sequence: int
     expected: int
+    initial_sequence: int
+    caller_sequence: int
     is_open: bool = False
     has_ended: bool = False
 
@@ -191,12 +195,24 @@
         if not self.accepts:
             self._send(bytes([received.raw[0] | BOUNCED]) + received.raw[1:])
             return
-        expected = _advance(received.sequence, 1)
-        if entry is None or entry.expected != expected:
-            entry = _FlowEntry(self._rng.getrandbits(32), expected)
+        if entry is None or entry.caller_sequence != received.sequence:
+            sequence = self._rng.getrandbits(32)
+            entry = _FlowEntry(
+                sequence,
+                _advance(received.sequence, 1),
+                sequence,
+                received.sequence,
+            )
             self._flows[received.flow] = entry
             self._ended.discard(received.flow)
-        self._send_packet(received.flow, entry, SYN | ACK)
+        self._send(
+            from_backend(
+                received.flow,
+                SYN | ACK,
+                sequence=entry.initial_sequence,
+                acknowledged=entry.expected,
+            )
+        )
 
     def _on_packet(self, received: packet.Packet, entry: _FlowEntry) -> None:
         if not entry.is_open:
--- a/sapphirelift/standins/packet_network.py
+++ b/sapphirelift/standins/packet_network.py
@@ -133,11 +133,11 @@
 
     def report(self) -> None:
         """Sends a status report from the backend server to the agent."""
-        if not self.is_up or not self.backend.is_alive:
-            return
-        if not self.is_reporting:
+        if not self.backend.is_alive or not self.is_reporting:
             return
         self._report_count += 1
+        if not self.is_up:
+            return
         now_ms = self._network.now_ms
         self.agent.on_report(
             backend_module.Report(
@@ -277,7 +277,11 @@
         if ip not in self.rotation:
             self.rotation.append(ip)
         for agent in self.agents.values():
-            host.core.add_agent(agent.address, self.now_ms)
+            host.core.add_agent(
+                agent.address,
+                self.now_ms,
+                is_stopping=agent.agent.is_stopping,
+            )
         for peer in self.balancers.values():
             host.core.add_peer(peer.address, self.now_ms)
         self.perform(host)
--- a/tests/test_l4_hearsay.py
+++ b/tests/test_l4_hearsay.py
@@ -446,3 +446,24 @@
             case.net.perform(case.host)
             case.net.run(100)
         case.check_own_flows_go_on()
+
+    # Guards against the same reset after a restart of the agent, which does not
+    # know that the flow is open.
+    def test_open_flow_of_a_restarted_agent_goes_on(self) -> None:
+        """Acknowledgements show that the server's acceptance is an old one."""
+        case = Case()
+        flow = case.own[0]
+        case.check_own_flows_go_on()
+        known = case.host.agent.flows.get(flow.flow)
+        assert known is not None
+        assert known.caller_sequence is not None
+        opening = flow_ends.from_caller(
+            flow.flow, flow_ends.SYN, sequence=known.caller_sequence
+        )
+        case.host.stop_agent()
+        case.host.start_agent()
+        case.restart_balancers()
+        case.net.run(500)
+        case.net.inject(opening)
+        case.net.run(100)
+        case.check_own_flows_go_on()
