Send a packet to an owner once that got it as a probe

A search that finds the owner after probes sent it all its packets again. The agent counted the request as another one, waited two seconds for its answer, and took its server for busy meanwhile.

Fix: a search remembers what each agent has got.

Evidence: test_owner_gets_a_probe_once fails before (4 requests in progress at each agent).

--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -120,6 +120,8 @@
             if there is none.
         unreturned: Agents probed whose backend servers have not returned the
             packet.
+        delivered: Packets sent to each agent as probes. Sent again, they would
+            pass for further requests.
         silent: Number of agents that did not answer in time.
         next_wave: Number of agents in the next wave.
         can_resolve: Whether a resolver may be asked after the first wave.
@@ -144,6 +146,9 @@
     )
     probed_agent: messages.Address | None = None
     unreturned: list[messages.Address] = dataclasses.field(default_factory=list)
+    delivered: dict[messages.Address, list[packet.Packet]] = dataclasses.field(
+        default_factory=dict
+    )
     silent: int = 0
     next_wave: int = FIRST_WAVE_SIZE
     can_resolve: bool = False
@@ -153,6 +158,17 @@
     belief: ownership.Belief | None = None
     is_owner_stopping: bool = False
 
+    def probe(self, probed: packet.Packet) -> Probe:
+        """Returns the step that sends a packet to the probed agent."""
+        assert self.probed_agent is not None
+        self.delivered.setdefault(self.probed_agent, []).append(probed)
+        return Probe(self.probed_agent, probed)
+
+    def undelivered(self, agent: messages.Address) -> list[packet.Packet]:
+        """Returns the packets that an agent has not got as probes."""
+        delivered = self.delivered.get(agent, [])
+        return [found for found in self.packets if found not in delivered]
+
 
 class Lookups:
     """Owner searches of one balancer."""
@@ -207,7 +223,7 @@
             if search.probed_agent is not None and self._may_probe(
                 received.flow, search, now_ms
             ):
-                return [Probe(search.probed_agent, received)]
+                return [search.probe(received)]
             return []
         if len(self._lookups) >= MAX_LOOKUPS:
             self._counters["lookups_dropped_table_full"] += 1
@@ -249,7 +265,7 @@
             case messages.OWNS:
                 del self._lookups[resolved.flow]
                 took_ms = now_ms - search.started_ms
-                packets = list(search.packets)
+                packets = search.undelivered(resolved.agent)
                 return [Found(resolved.flow, resolved.agent, packets, took_ms)]
             case messages.MAY_OWN:
                 # The agents that may own it have to be probed one by one.
@@ -277,9 +293,8 @@
         if answer.verdict == messages.OWNS:
             del self._lookups[answer.flow]
             took_ms = now_ms - search.started_ms
-            return [
-                Found(answer.flow, answer.agent, list(search.packets), took_ms)
-            ]
+            packets = search.undelivered(answer.agent)
+            return [Found(answer.flow, answer.agent, packets, took_ms)]
         if answer.agent not in search.awaiting_answer:
             return []
         search.awaiting_answer.discard(answer.agent)
@@ -340,7 +355,7 @@
         """Ends the search at an agent that has not said that it owns it."""
         search = self._lookups.pop(flow)
         took_ms = now_ms - search.started_ms
-        return [Found(flow, agent, list(search.packets), took_ms)]
+        return [Found(flow, agent, search.undelivered(agent), took_ms)]
 
     def _may_probe(
         self, flow: packet.FlowKey, search: _Lookup, now_ms: int
@@ -401,7 +416,7 @@
         if search.possible_owners and self._may_probe(flow, search, now_ms):
             search.probed_agent = search.possible_owners[0]
             search.asked_ms = now_ms
-            return [Probe(search.probed_agent, search.packets[-1])]
+            return [search.probe(search.packets[-1])]
         if search.unreturned:
             return self._end_probes(flow, search, now_ms)
         if search.ended_at is not None:
--- a/tests/test_l4_hearsay.py
+++ b/tests/test_l4_hearsay.py
@@ -402,6 +402,24 @@
         assert case.net.resets == []
         assert [f.answers for f in case.own] == [1] * len(case.own)
 
+    # Guards against an agent that counts a request twice, takes its server for
+    # busy for two seconds, and refuses flows (Dune Works, scale-1: 276 openings
+    # refused as overloaded instead of 39 after all daemons were killed).
+    def test_owner_gets_a_probe_once(self) -> None:
+        """The search does not send it again once it has found the owner."""
+        case = Case()
+        for host in case.net.agents.values():
+            host.stop_agent()
+            host.start_agent()
+        case.restart_balancers()
+        case.net.run(500)
+        for flow in case.flows:
+            flow.request()
+        case.net.run(400)
+        assert [f.answers for f in case.flows] == [1] * FLOWS
+        hosts = case.net.agents.values()
+        assert [h.agent.dump(0)["busy"] for h in hosts] == [0] * len(hosts)
+
     # Guards against an agent that claims a flow because it was asked for it.
     def test_probed_agent_does_not_claim_the_flow(self) -> None:
         """Only a packet of its server shows that it has the flow."""
