Settle for a probe that is not returned, as before

What callers would have seen: after a loss of power of all instances, balancers that spend their processor time on searches.

Cause, suspected: let a search go on after a probe that was not returned. While servers are away, no probe is returned, and each packet of a lost flow went to one agent after the other.

--- a/sapphirelift/bench/owner_search.py
+++ b/sapphirelift/bench/owner_search.py
@@ -16,6 +16,7 @@
 from sapphirelift.core.l4 import balancer as balancer_module
 from sapphirelift.core.l4 import lookup
 from sapphirelift.core.l4 import messages
+from sapphirelift.core.l4 import ownership
 from sapphirelift.core.l4 import packet
 from sapphirelift.platform import packets
 from sapphirelift.standins import flow_ends
@@ -76,6 +77,7 @@
         now_ms: int,
         *,
         without: messages.Address | None = None,
+        belief: ownership.Belief | None = None,
     ) -> None:
         if received.flow in self.finished:
             return
--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -118,8 +118,6 @@
         possible_owners: Agents that answered that they may own the flow.
         probed_agent: Agent to which the packet has been sent as a probe, None
             if there is none.
-        unreturned: Agents probed whose backend servers have not returned the
-            packet.
         delivered: Packets sent to each agent as probes. Sent again, they would
             pass for further requests.
         silent: Number of agents that did not answer in time.
@@ -145,7 +143,6 @@
         default_factory=list
     )
     probed_agent: messages.Address | None = None
-    unreturned: list[messages.Address] = dataclasses.field(default_factory=list)
     delivered: dict[messages.Address, list[packet.Packet]] = dataclasses.field(
         default_factory=dict
     )
@@ -315,8 +312,6 @@
         search = self._lookups.get(flow)
         if search is None:
             return []
-        if agent in search.unreturned:
-            search.unreturned.remove(agent)
         if search.probed_agent != agent:
             return []
         if agent in search.possible_owners:
@@ -341,9 +336,13 @@
                     steps.extend(self._advance(flow, now_ms))
             elif now_ms - search.asked_ms > ANSWER_MS:
                 if search.probed_agent is not None:
-                    search.unreturned.append(search.probed_agent)
-                    search.possible_owners.remove(search.probed_agent)
-                    search.probed_agent = None
+                    # Not returned, so the backend server may have the flow. To
+                    # ask the others too would cost a search for each packet
+                    # while many servers are away at once.
+                    steps.extend(
+                        self._end_at(flow, search.probed_agent, now_ms)
+                    )
+                    continue
                 search.silent += len(search.awaiting_answer)
                 search.awaiting_answer.clear()
                 steps.extend(self._advance(flow, now_ms))
@@ -377,22 +376,6 @@
         times_ms.append(now_ms)
         return True
 
-    def _end_probes(
-        self, flow: packet.FlowKey, search: _Lookup, now_ms: int
-    ) -> list[Step]:
-        """Ends a search in which servers have not returned the packet.
-
-        If only one has kept it and no other agent is left, that one is the
-        owner. Otherwise the owner has either got the packet, and will claim
-        the flow once it has answered the caller, or is silent.
-        """
-        is_settled = not search.possible_owners and not search.silent
-        if is_settled and len(search.unreturned) == 1:
-            return self._end_at(flow, search.unreturned[0], now_ms)
-        del self._lookups[flow]
-        self._counters["probes_undecided"] += 1
-        return []
-
     def _advance(self, flow: packet.FlowKey, now_ms: int) -> list[Step]:
         search = self._lookups[flow]
         if search.awaiting_answer:
@@ -417,8 +400,6 @@
             search.probed_agent = search.possible_owners[0]
             search.asked_ms = now_ms
             return [search.probe(search.packets[-1])]
-        if search.unreturned:
-            return self._end_probes(flow, search, now_ms)
         if search.ended_at is not None:
             return self._end_at(flow, search.ended_at, now_ms)
         del self._lookups[flow]
