--- a/sapphirelift/core/l4/ownership.py
+++ b/sapphirelift/core/l4/ownership.py
@@ -8,7 +8,6 @@
 # Sources of a belief.
 OPENED = "opened"
 FOUND = "search"
-PROBED = "probe"
 # Told by a packet of the backend server, after a restart of its agent.
 RELEARNED = "relearned"
 
