Carry the terms of a route to agents; settings for decisions under load

No decision of core/l4 knows a route's priority, deadline or whether its requests may be repeated. A balancer now decodes them and sends them with each opening; an agent remembers them by route, for requests on flows that are open. Heartbeats get two fields for what waits at an agent and for the server's own work. The settings object 'load' switches on what is built on this, all off by default. No behaviour changes; interfaces only.

--- a/sapphirelift/_packet_agent.py
+++ b/sapphirelift/_packet_agent.py
@@ -58,6 +58,7 @@
             started_unix_ms=started_unix_ms,
             is_first_start=settings.is_first_start,
             now_ms=clock.now_ms(),
+            load=settings.load,
         )
         self._has_departed = False
         self._refusal_logged_ms = -REFUSAL_LOG_INTERVAL_MS
--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -69,6 +69,7 @@
             rng=self.rng,
             data_centre=settings.data_centre,
             contact_ms=round(settings.contact_ms),
+            load=settings.load,
         )
         self._replica_state: dict[str, Any] = {}
         self._is_fetching = False
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -14,11 +14,13 @@
 from sapphirelift.core.l4 import departure
 from sapphirelift.core.l4 import flow_table
 from sapphirelift.core.l4 import heartbeats
+from sapphirelift.core.l4 import load_settings
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import ownership
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
+from sapphirelift.core.l4 import terms
 from sapphirelift.core.membership import freshness
 
 _Phase = flow_table.Phase
@@ -54,6 +56,8 @@
 EXTRA_REPORTS = 4
 # Interval between two calls of ``sweep``.
 SWEEP_MS = 1000
+# Routes whose terms are remembered; a configuration has up to 1,400.
+MAX_ROUTES = 4096
 # Flows of which the backend server is asked in one tick. A socket's default
 # buffer holds about 270 small packets.
 QUESTIONS_PER_TICK = 64
@@ -92,6 +96,7 @@
         started_unix_ms: int,
         is_first_start: bool,
         now_ms: int,
+        load: load_settings.LoadSettings = load_settings.NONE,
     ) -> None:
         """Creates an agent without flows.
 
@@ -102,8 +107,10 @@
             is_first_start: Whether the whole system starts for the first
                 time, so that no earlier flows exist.
             now_ms: Current time.
+            load: Decisions under load that the deployment asks for.
         """
         self.identity = identity
+        self.load_settings = load
         self.backend = backend_module.Backend(
             report_interval_ms=report_interval_ms
         )
@@ -129,6 +136,8 @@
         self._heartbeat_number = 0
         # Open flows of which the backend server has yet to show that it has
         # them.
+        # Terms of the routes for which flows have been offered.
+        self._terms: dict[routes.RouteKey, terms.Terms] = {}
         self._questioned: collections.deque[packet.FlowKey] = (
             collections.deque()
         )
@@ -549,6 +558,7 @@
     ) -> None:
         """Handles an opening packet."""
         key = received.flow
+        self._note_terms(key, offer.terms)
         flow = self.flows.get(key)
         if flow is not None and flow.is_opened_by(received, now_ms):
             flow.balancer = offer.balancer
@@ -584,6 +594,20 @@
         else:
             self._forward_open(key, flow, now_ms)
 
+    def _note_terms(self, key: packet.FlowKey, noted: terms.Terms) -> None:
+        """Remembers the terms of a route, for requests on its flows."""
+        if noted == terms.Terms():
+            # Passed on by an agent, or sent by an earlier release.
+            return
+        route = routes.RouteKey(key.route_ip, key.route_port)
+        if route in self._terms or len(self._terms) < MAX_ROUTES:
+            self._terms[route] = noted
+
+    def _terms_of(self, key: packet.FlowKey) -> terms.Terms:
+        """Returns the terms of a flow's route, as far as they are known."""
+        route = routes.RouteKey(key.route_ip, key.route_port)
+        return self._terms.get(route, terms.Terms())
+
     def _pass_on_if_busy(
         self, key: packet.FlowKey, offer: messages.Open, now_ms: int
     ) -> bool:
@@ -753,6 +777,7 @@
             flow.others,
             False,
             flow.opening_data,
+            terms=self._terms_of(key),
         )
         self._pass_on_or_refuse(key, offer, reason, 0)
 
@@ -1178,4 +1203,6 @@
         cold_ms=heartbeat.cold_ms,
         has_full_table=heartbeat.has_full_table,
         unheard_ms=heartbeat.unheard_ms,
+        waiting=heartbeat.waiting,
+        work_ms=heartbeat.work_ms,
     )
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -14,6 +14,7 @@
 from sapphirelift.core.l4 import actions
 from sapphirelift.core.l4 import agents
 from sapphirelift.core.l4 import heartbeats
+from sapphirelift.core.l4 import load_settings
 from sapphirelift.core.l4 import lookup
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import ownership
@@ -23,6 +24,7 @@
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
 from sapphirelift.core.l4 import sentinels
+from sapphirelift.core.l4 import terms as terms_module
 from sapphirelift.core.l4 import watch as watch_module
 from sapphirelift.core.membership import freshness
 
@@ -118,6 +120,7 @@
     Attributes:
         service: Service to which the configuration in force assigned it.
         candidates: Agents that may open the flow, best first.
+        terms: Urgency of the requests of the flow's route.
         sent_ms: When the packet was sent to the current candidate.
         index: Position of the current candidate.
         held_until_ms: Until when an agent holds the packet; 0 if none does.
@@ -127,6 +130,7 @@
     service: str
     caller_sequence: int
     candidates: list[messages.Address]
+    terms: terms_module.Terms
     started_ms: int
     sent_ms: int
     index: int = 0
@@ -217,6 +221,7 @@
         rng: random.Random,
         data_centre: str = "",
         contact_ms: int = 4000,
+        load: load_settings.LoadSettings = load_settings.NONE,
     ) -> None:
         """Creates a balancer that knows no other daemons.
 
@@ -228,7 +233,9 @@
             data_centre: Its data centre, whose agents are preferred; empty
                 for no preference.
             contact_ms: See the attribute.
+            load: Decisions under load that the deployment asks for.
         """
+        self.load_settings = load
         self.configuration = routes.Configuration()
         self.evacuations = routes.Evacuations()
         self.agents = agents.Agents()
@@ -497,6 +504,7 @@
             service,
             received.sequence,
             [agent.address for agent in ranked],
+            route.terms,
             now_ms,
             now_ms,
         )
@@ -539,6 +547,7 @@
             any(self._is_warm(other) for other in others),
             opening.data,
             unoffered=len(others),
+            terms=opening.terms,
         )
         self._actions.append(actions.SendDaemon(address, message))
 
@@ -1142,6 +1151,8 @@
                 cold_ms=pulse.cold_ms,
                 has_full_table=pulse.has_full_table,
                 unheard_ms=pulse.unheard_ms,
+                waiting=pulse.waiting,
+                work_ms=pulse.work_ms,
             ),
             now_ms,
         )
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -14,6 +14,7 @@
 
 from sapphirelift import errors
 from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import terms as terms_module
 
 
 class Address(NamedTuple):
@@ -40,6 +41,9 @@
             for lack of a free slot; None if none has, or if the receiver has
             to take the flow.
         least_load: Requests per slot at ``least_busy``.
+        terms: Urgency of the requests of the flow's route.
+        is_extra: Whether the flow is offered to another agent at the same
+            time. It is refused rather than held or passed on.
     """
 
     service: str
@@ -50,6 +54,8 @@
     unoffered: int = 0
     least_busy: Address | None = None
     least_load: float = 0.0
+    terms: terms_module.Terms = terms_module.Terms()
+    is_extra: bool = False
 
 
 class Deliver(NamedTuple):
@@ -234,6 +240,9 @@
             server.
         unheard_ms: Time since the agent last heard this balancer. It grows
             if packets pass only from the agent to the balancer.
+        waiting: Number of requests and openings that wait at the agent.
+        work_ms: Average time that the backend server works on a request,
+            without waits; 0.0 before the first one.
     """
 
     name: str
@@ -251,6 +260,8 @@
     cold_ms: int
     has_full_table: bool
     unheard_ms: int = 0
+    waiting: int = 0
+    work_ms: float = 0.0
 
 
 class Pulse(NamedTuple):
@@ -272,6 +283,8 @@
     cold_ms: int
     has_full_table: bool
     unheard_ms: int
+    waiting: int = 0
+    work_ms: float = 0.0
 
 
 class HeartbeatAck(NamedTuple):
--- a/sapphirelift/core/l4/routes.py
+++ b/sapphirelift/core/l4/routes.py
@@ -8,6 +8,7 @@
 
 from sapphirelift.core import revisions
 from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import terms as terms_module
 
 
 class RouteKey(NamedTuple):
@@ -37,15 +38,13 @@
         name: Name of the route.
         shares: Shares of the services, at least one.
         regions: Regions that may serve the flows; empty for all.
-        aim_ms: Latency objective of requests.
-        timeout_ms: Time after which callers give up on a request.
+        terms: Urgency of the requests.
     """
 
     name: str
     shares: tuple[Share, ...]
     regions: frozenset[str] = frozenset()
-    aim_ms: int = 0
-    timeout_ms: int = 0
+    terms: terms_module.Terms = terms_module.Terms()
 
     @property
     def services(self) -> tuple[str, ...]:
--- a/sapphirelift/deployment.py
+++ b/sapphirelift/deployment.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sapphirelift import errors
+from sapphirelift.core.l4 import load_settings
 from sapphirelift.core.l4 import messages
 
 
@@ -37,6 +38,7 @@
         contact_ms: Time without contact after which an instance counts as
             lost.
         is_first_start: Whether the whole system starts for the first time.
+        load: Decisions under load that the deployment asks for.
     """
 
     name: str
@@ -57,6 +59,7 @@
     outbound: str = ""
     backend: str = ""
     service: str = ""
+    load: load_settings.LoadSettings = load_settings.LoadSettings()
 
     @property
     def daemon_address(self) -> messages.Address:
--- a/sapphirelift/platform/configuration.py
+++ b/sapphirelift/platform/configuration.py
@@ -7,6 +7,7 @@
 
 from sapphirelift import errors
 from sapphirelift.core.l4 import routes
+from sapphirelift.core.l4 import terms
 from sapphirelift.platform import decoding
 from sapphirelift.platform import packets
 
@@ -16,6 +17,9 @@
 EVACUATION_KIND = "evacuations"
 
 
+# Kinds of requests that may run more than once.
+_REPEATABLE_KINDS = frozenset({"safe", "download"})
+
 # In milliseconds; a year at the most.
 _Duration = Annotated[float, msgspec.Meta(ge=0, le=365 * 86_400_000)]
 
@@ -40,6 +44,11 @@
     )
     aim_ms: _Duration = msgspec.field(name="AimMs", default=0)
     timeout_ms: _Duration = msgspec.field(name="TimeoutMs", default=0)
+    priority: int = msgspec.field(
+        name="Priority", default=terms.UNKNOWN_PRIORITY
+    )
+    # The kind of the requests, which says whether they may be repeated.
+    kind: str = msgspec.field(name="Type", default="")
 
 
 class _Service(msgspec.Struct):
@@ -120,6 +129,10 @@
         name=route.name,
         shares=shares,
         regions=frozenset(route.allowed_regions),
-        aim_ms=int(route.aim_ms),
-        timeout_ms=int(route.timeout_ms),
+        terms=terms.Terms(
+            priority=route.priority,
+            aim_ms=int(route.aim_ms),
+            timeout_ms=int(route.timeout_ms),
+            is_repeatable=route.kind in _REPEATABLE_KINDS,
+        ),
     )
