Give up first calls to a silent store early; remove entries of leaving agents in time

Cause: daemons that started while the store was silent waited 3 s for the answer to their first call, on a connection that would never bring one, while the store was back after half a second. Agents that left for good while the store was down tried once to remove their entries. Change: the first attempt of a call waits 0.5 s, each further one twice as long, up to 3 s; an agent that leaves tries until two thirds of its time to exit are over. The test fails on the code before.

--- a/sapphirelift/_directory.py
+++ b/sapphirelift/_directory.py
@@ -144,7 +144,10 @@
         self.set_listed(self._should_be_listed)
 
     def remove(self, *, timeout_s: float) -> None:
-        """Removes the entry; one that is left behind does little harm.
+        """Removes the entry.
+
+        Balancers that start later wait for a daemon whose entry is left behind
+        before they take a flow for ended.
 
         Args:
             timeout_s: Longest time to wait for the store.
@@ -154,8 +157,7 @@
             return
         try:
             with eventlet.Timeout(timeout_s):
-                self._store.delete(KIND, self._name)
-                self._is_listed = False
+                self._retry(self._remove_entry)
         except (errors.SapphireliftError, eventlet.Timeout) as error:
             self._log.write("entry_not_removed", reason=str(error))
 
--- a/sapphirelift/_packet_agent.py
+++ b/sapphirelift/_packet_agent.py
@@ -28,6 +28,9 @@
 LAST_CHECK_TIMEOUT_S = 0.2
 # The store answers within some milliseconds, and a slow one within 200.
 MARK_TIMEOUT_S = 0.5
+# Share of the time to exit in which the entry of an agent whose backend server
+# has left is removed; nothing else is left to do then.
+REMOVAL_SHARE = 2 / 3
 # Refused reports are logged at most once within this time.
 REFUSAL_LOG_INTERVAL_MS = 1000
 
@@ -120,7 +123,9 @@
         self.log.flush()
         # Packets are still handled meanwhile.
         if has_left:
-            self._directory.remove(timeout_s=self.settings.stop_timeout_s / 3)
+            self._directory.remove(
+                timeout_s=self.settings.stop_timeout_s * REMOVAL_SHARE
+            )
         else:
             self._directory.mark_stopping(timeout_s=MARK_TIMEOUT_S)
         eventlet.sleep(LINGER_S / 2)
--- a/sapphirelift/platform/store.py
+++ b/sapphirelift/platform/store.py
@@ -24,6 +24,10 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 3.0
+# Timeout of the first attempt; each further one gets twice as long. A store
+# that is slow answers within 0.25 s. A call that reaches a silent store is
+# never answered, also when the store is back a moment later.
+FIRST_READ_TIMEOUT_S = 0.5
 # The platform answers a watch within its wait time. A connection that is
 # silent for this much longer is considered dead.
 WATCH_MARGIN_S = 1.0
@@ -197,6 +201,7 @@
         self.era = revisions.FIRST_ERA
         self.restores = 0
         self._has_era = False
+        self._read_timeout_s = FIRST_READ_TIMEOUT_S
         self._announced_era = 0
         self._watching: set[greenlet.greenlet] = set()
 
@@ -496,8 +501,22 @@
         *,
         query: dict[str, Any] | None = None,
         body: dict[str, Any] | None = None,
-        read_timeout_s: float = READ_TIMEOUT_S,
+        read_timeout_s: float | None = None,
     ) -> Answer:
+        """Makes a call and returns its answer.
+
+        Args:
+            call: Kind of call under which it is counted.
+            method: HTTP method.
+            path: Path of the objects.
+            query: Parameters.
+            body: Body, sent as JSON.
+            read_timeout_s: Time until the store answers; None for one that
+                grows with each attempt that goes unanswered.
+
+        Raises:
+            PlatformUnavailableError: There was no usable answer.
+        """
         # Imported on the first call, so that a restarted agent carries packets
         # before it loads the HTTP client.
         import urllib3  # noqa: PLC0415
@@ -511,6 +530,10 @@
         url = self._base_url + path
         if query:
             url += "?" + urllib.parse.urlencode(query)
+        is_adaptive = read_timeout_s is None
+        if read_timeout_s is None:
+            read_timeout_s = self._read_timeout_s
+        began_ms = clock.now_ms()
         # The read timeout of a socket restarts with every byte received; this
         # timeout bounds the whole call.
         call_timeout = eventlet.Timeout(
@@ -530,6 +553,8 @@
             )
             data = response.data
         except urllib3.exceptions.ReadTimeoutError as error:
+            if is_adaptive:
+                self._allow_more_time(read_timeout_s)
             # What has silenced this connection has silenced others too.
             self.renew_watches()
             raise self._failure(call, type(error).__name__) from error
@@ -538,10 +563,16 @@
         except eventlet.Timeout as error:
             if error is not call_timeout:
                 raise
+            if is_adaptive:
+                self._allow_more_time(read_timeout_s)
             self.renew_watches()
             raise self._failure(call, "no answer in time") from error
         finally:
             call_timeout.cancel()
+        if is_adaptive and clock.now_ms() - began_ms < (
+            FIRST_READ_TIMEOUT_S * 1000 / 2
+        ):
+            self._read_timeout_s = FIRST_READ_TIMEOUT_S
         era = self._read_era(call, response.headers.get(ERA_HEADER))
         if response.status not in (200, 201, 404, 409, 410):
             raise self._failure(call, f"status {response.status}")
@@ -549,6 +580,12 @@
             raise self._failure(call, f"answer of era {era} after {self.era}")
         return Answer(response.status, data, era)
 
+    def _allow_more_time(self, exceeded_s: float) -> None:
+        """Doubles the timeout of further attempts after an exceeded one."""
+        self._read_timeout_s = min(
+            max(self._read_timeout_s, 2 * exceeded_s), READ_TIMEOUT_S
+        )
+
     def _read_era(self, call: str, header: str | None) -> int:
         """Returns the era of an answer, and ends the watches of earlier eras.
 
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -209,3 +209,50 @@
             h.core.configuration.version for h in net.balancers.values()
         ]
         assert versions == [2] * count
+
+
+class _PoolOfSilentStore:
+    """Connection pool of a store that is silent for some calls.
+
+    Attributes:
+        timeouts_s: Read timeouts of the calls.
+        silent_calls: Number of calls that will not be answered.
+    """
+
+    headers: dict[str, str] = {}
+
+    def __init__(self, silent_calls: int) -> None:
+        self.timeouts_s: list[float] = []
+        self.silent_calls = silent_calls
+
+    def clear(self) -> None:
+        """Closes no connections."""
+
+    def request(
+        self, method: str, url: str, *, timeout: urllib3.Timeout, **rest: Any
+    ) -> urllib3.HTTPResponse:
+        """Answers with an empty list, or not in time."""
+        self.timeouts_s.append(float(timeout.read_timeout or 0))
+        if len(self.timeouts_s) <= self.silent_calls:
+            raise urllib3.exceptions.ReadTimeoutError(
+                urllib3.HTTPConnectionPool("store"), url, "silent"
+            )
+        return urllib3.HTTPResponse(b'{"items":[],"CurrentRev":5}', status=200)
+
+
+class TestFirstCalls:
+    """Calls of daemons that start while the store is silent."""
+
+    # Guards against daemons without a configuration for 3 s after the store's
+    # return, because their first call waits on a dead connection.
+    def test_first_attempts_are_short(self) -> None:
+        """Each further attempt gets twice the time."""
+        client = store.Store("http://10.0.0.1:1", calls_per_s=1000)
+        pool = _PoolOfSilentStore(silent_calls=4)
+        client._pool = pool  # noqa: SLF001
+        for _ in range(4):
+            with pytest.raises(errors.PlatformUnavailableError):
+                client.list_kind("kind")
+        client.list_kind("kind")
+        client.list_kind("kind")
+        assert pool.timeouts_s == [0.5, 1.0, 2.0, 3.0, 3.0, 0.5]
