Let flows without a known owner wait for silent agents, not search again and again

Cause: after a return of power 11 listed agents of 70 never come back. A search without an outcome was repeated for each retransmission: 800 to 1,400 a second. They filled the rounds of the resolver, balancers then asked all agents about each flow by themselves, and their answers came too late to count. An agent never heard before could own flows for 5 s instead of 2.5 s. Change: such a flow waits in core/l4/unproven.py until the agents that were silent have answered or count as lost; one search then decides and the caller is reset. A resolver that does not answer is replaced by the balancer's own, which asks about 64 flows at a time. Late answers of owners count. Packets that have to be tried at agents go to the likeliest owner first. One balancer in eight resolves. Log lines name the silent agents.

--- a/sapphirelift/core/l4/agents.py
+++ b/sapphirelift/core/l4/agents.py
@@ -30,6 +30,10 @@
 # give up on requests after 1.2 s or more, so waiting longer has no benefit.
 LOST_AFTER_MS = 2500
 LOST_AFTER_HELLO_MS = 2000
+# One that has never been heard counts as lost if it has also not answered this
+# many hellos: four lost ones in a row happen on a link that loses one datagram
+# in six.
+LOST_AFTER_HELLOS = 5
 # An agent that stops by plan is back within this time: the platform gives its
 # process 6 s to exit, and the next one starts in less than 4 s.
 RESTART_MS = 10_000
@@ -155,9 +159,7 @@
                 # Without a backend server, there are no flows.
                 return False
             case "leaving":
-                return silent_ms <= owner_timeout_ms(
-                    is_stopping=True, contact_ms=contact_ms
-                )
+                return silent_ms <= restart_timeout_ms(contact_ms)
             case _:
                 return silent_ms <= LOST_AFTER_MS or not (
                     self._is_unanswered_for(LOST_AFTER_HELLO_MS, now_ms)
@@ -176,14 +178,14 @@
         )
 
 
-def owner_timeout_ms(*, is_stopping: bool, contact_ms: int) -> int:
-    """Returns for how long a silent agent may own flows.
+def restart_timeout_ms(contact_ms: int) -> int:
+    """Returns for how long an agent that stops by plan may own flows.
 
     Args:
-        is_stopping: Whether it has announced a planned stop.
-        contact_ms: The time for an agent of which nothing is known.
+        contact_ms: Time without contact after which an instance counts as
+            lost.
     """
-    return max(contact_ms, RESTART_MS) if is_stopping else contact_ms
+    return max(contact_ms, RESTART_MS)
 
 
 def is_outdated(incarnation: int, *, newest: int, newest_age_ms: int) -> bool:
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -25,6 +25,7 @@
 from sapphirelift.core.l4 import samples
 from sapphirelift.core.l4 import sentinels
 from sapphirelift.core.l4 import terms as terms_module
+from sapphirelift.core.l4 import unproven
 from sapphirelift.core.l4 import watch as watch_module
 from sapphirelift.core.membership import freshness
 
@@ -51,6 +52,11 @@
 # have passed before it. What is in force is not out of date yet.
 SHORT_PAUSE_MS = agents.SUSPECT_AFTER_MS - heartbeats.MIN_INTERVAL_MS
 MAX_PEERS = 1024
+# Interval at which the silent agents are compared with those that flows without
+# a known owner wait for: short against the deadlines of callers.
+UNPROVEN_CHECK_MS = 200
+# Names of agents in a log line.
+MAX_LOGGED_AGENTS = 4
 # Maximum number of agents asked about one flow without a resolver. If there are
 # more, a failed search does not prove that the flow has ended.
 MAX_ASKED_AGENTS = 256
@@ -161,10 +167,22 @@
     Attributes:
         found_ms: When its address was found.
         is_stopping: Whether it has announced a planned stop.
+        hellos: Number of hellos that it has been sent.
     """
 
     found_ms: int
     is_stopping: bool
+    hellos: int = 0
+
+    def may_own(self, now_ms: int, *, contact_ms: int) -> bool:
+        """Returns whether it may own flows: it may live, or start again."""
+        waited_ms = now_ms - self.found_ms
+        if self.is_stopping:
+            return waited_ms <= agents.restart_timeout_ms(contact_ms)
+        return (
+            waited_ms <= agents.LOST_AFTER_MS
+            or self.hellos < agents.LOST_AFTER_HELLOS
+        )
 
 
 class _NewerReplica(NamedTuple):
@@ -263,6 +281,8 @@
         self._openings: dict[packet.FlowKey, _Opening] = {}
         self._lookups = lookup.Lookups(self.counters)
         self._resolver = resolver.Resolver(self.counters)
+        self._unproven = unproven.UnprovenFlows()
+        self._unproven_checked_ms = now_ms
         self._silent_resolvers: dict[messages.Address, int] = {}
         self._removed_routes: dict[routes.RouteKey, int] = {}
         self._newer_replica: _NewerReplica | None = None
@@ -299,6 +319,7 @@
             bool(self._openings)
             or self._lookups.has_pending
             or self._resolver.has_pending
+            or len(self._unproven) > 0
             or self._newer_replica is not None
         )
 
@@ -440,6 +461,7 @@
         owner = self._owners.pop(flow, None)
         self._openings.pop(flow, None)
         self._lookups.cancel(flow)
+        self._unproven.discard(flow)
         return owner.address if owner is not None else None
 
     def _open(
@@ -698,6 +720,13 @@
         without: messages.Address | None = None,
         belief: ownership.Belief | None = None,
     ) -> None:
+        if self._lookups.is_searching(received.flow):
+            steps = self._lookups.add_packet(received, now_ms)
+            self._apply_lookup_steps(now_ms, steps)
+            return
+        if self._unproven.holds(received, now_ms):
+            self.counters["searches_spared"] += 1
+            return
         route = self.configuration.find(received.flow)
         if route is None:
             # The route may have been added in a configuration that has not
@@ -756,12 +785,39 @@
         return [
             address
             for address, found in self._unconfirmed_agents.items()
-            if now_ms - found.found_ms
-            <= agents.owner_timeout_ms(
-                is_stopping=found.is_stopping, contact_ms=self.contact_ms
-            )
+            if found.may_own(now_ms, contact_ms=self.contact_ms)
         ]
 
+    def _silent_owners(self, now_ms: int) -> frozenset[messages.Address]:
+        """Returns the agents that may own flows and do not answer."""
+        return frozenset(
+            [
+                *(
+                    agent.address
+                    for agent in self.agents
+                    if agent.is_late(now_ms)
+                    and agent.may_own(now_ms, contact_ms=self.contact_ms)
+                ),
+                *self._unconfirmed_owners(now_ms),
+            ]
+        )
+
+    def _search_unproven_again(self, now_ms: int) -> None:
+        """Searches for flows of which silent agents were the last hope."""
+        if (
+            not len(self._unproven)
+            or now_ms - self._unproven_checked_ms < UNPROVEN_CHECK_MS
+        ):
+            return
+        self._unproven_checked_ms = now_ms
+        silent = self._silent_owners(now_ms)
+        answering = frozenset(
+            agent.address for agent in self.agents if not agent.is_late(now_ms)
+        )
+        for received in self._unproven.take_due(silent, answering, now_ms):
+            self.counters["searches_repeated"] += 1
+            self._look_up(received, now_ms)
+
     def _is_any_owner_stopping(self, now_ms: int) -> bool:
         """Returns whether a silent agent is being restarted by plan."""
         return any(
@@ -834,6 +890,10 @@
     ) -> None:
         if address == self._address:
             return
+        # To ask all agents about this flow alone would cost most while many
+        # flows are searched for.
+        self._lookups.on_resolve_sent(flow, self._address)
+        self._resolver.add(flow, self._address)
         self._silent_resolvers[address] = now_ms + resolver.UNRESPONSIVE_MS
         self.counters["resolvers_silent"] += 1
         self._log("resolver_silent", flow=str(flow), ip=address.ip)
@@ -895,10 +955,14 @@
             )
             self._reset(found.packets[-1])
             return
+        silent = self._silent_owners(now_ms)
+        if found.packets:
+            self._unproven.add(found.packets[-1], silent, now_ms)
         self._log(
             "flow_without_owner",
             flow=str(found.flow),
             silent_agents=found.silent,
+            silent=sorted(map(self._agent_name, silent))[:MAX_LOGGED_AGENTS],
             has_asked_all=found.has_asked_all,
             outcome="dropped",
         )
@@ -926,6 +990,7 @@
 
     def _cache_owner(self, flow: packet.FlowKey, owner: _Owner) -> None:
         self._owners.pop(flow, None)
+        self._unproven.discard(flow)
         if len(self._owners) >= MAX_OWNERS:
             self._owners.popitem(last=False)
             self.counters["owners_evicted"] += 1
@@ -948,9 +1013,7 @@
                 self._on_refused(message, now_ms)
             case messages.Answer():
                 self._on_heard(message.agent, now_ms)
-                self._apply_lookup_steps(
-                    now_ms, self._lookups.on_answer(message, now_ms)
-                )
+                self._on_answer(message, now_ms)
             case messages.AnswerMany():
                 self._on_heard(message.agent, now_ms)
                 self._apply_resolver_steps(
@@ -980,6 +1043,18 @@
         if agent is not None:
             agent.on_heard(now_ms)
 
+    def _on_answer(self, answer: messages.Answer, now_ms: int) -> None:
+        if answer.verdict == messages.OWNS:
+            # The answer may have come after the end of the search.
+            received = self._unproven.take(answer.flow)
+            if received is not None:
+                owner = _Owner(answer.agent, now_ms, ownership.FOUND)
+                self._cache_owner(answer.flow, owner)
+                self._deliver(answer.agent, received)
+        self._apply_lookup_steps(
+            now_ms, self._lookups.on_answer(answer, now_ms)
+        )
+
     def _on_opened(self, opened: messages.Opened, now_ms: int) -> None:
         flow = opened.flow
         agent = self.agents.get(opened.agent)
@@ -1302,6 +1377,11 @@
         ]
 
     def _send_hello(self, address: messages.Address) -> None:
+        found = self._unconfirmed_agents.get(address)
+        if found is not None:
+            self._unconfirmed_agents[address] = found._replace(
+                hellos=found.hellos + 1
+            )
         hello = messages.Hello(self._address, self._choose_interval_ms(address))
         self._actions.append(actions.SendDaemon(address, hello))
 
@@ -1515,7 +1595,14 @@
                     self.watch.invalidate()
             else:
                 others.append(agent.address)
-        others += self._unconfirmed_agents
+        for address in self._unconfirmed_owners(now_ms):
+            # Flows without another owner wait for them.
+            self._send_hello(address)
+        others += [
+            address
+            for address, found in self._unconfirmed_agents.items()
+            if not found.may_own(now_ms, contact_ms=self.contact_ms)
+        ]
         if len(others) > GOSSIP_HELLOS:
             others = self._rng.sample(others, GOSSIP_HELLOS)
         for address in others:
@@ -1560,6 +1647,7 @@
                 self._try_next_candidate(flow, opening, now_ms)
         self._apply_lookup_steps(now_ms, self._lookups.tick(now_ms))
         self._tick_resolver(now_ms)
+        self._search_unproven_again(now_ms)
         self._obtain_newer_replica(now_ms)
 
     def sweep(self, now_ms: int) -> None:
--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -115,6 +115,7 @@
         unasked: Agents that have not been asked yet.
         knows_all_agents: Whether all agents were known at the beginning.
         awaiting_answer: Agents asked that have not answered yet.
+        asked: Agents asked so far, likeliest first.
         possible_owners: Agents that answered that they may own the flow.
         probed_agent: Agent to which the packet has been sent as a probe, None
             if there is none.
@@ -125,6 +126,7 @@
         can_resolve: Whether a resolver may be asked after the first wave.
         is_resolving: Whether the search waits for a resolver.
         resolver: The resolver that was asked, None if none has been.
+        has_waited: Whether a resolver has left the search unanswered.
         ended_at: Agent at which the flow has ended, None if none has said so.
             It owns the flow unless another agent has one of the same port.
         belief: What was believed about the owner before the search.
@@ -139,8 +141,9 @@
     awaiting_answer: set[messages.Address] = dataclasses.field(
         default_factory=set
     )
-    possible_owners: list[messages.Address] = dataclasses.field(
-        default_factory=list
+    asked: list[messages.Address] = dataclasses.field(default_factory=list)
+    possible_owners: set[messages.Address] = dataclasses.field(
+        default_factory=set
     )
     probed_agent: messages.Address | None = None
     delivered: dict[messages.Address, list[packet.Packet]] = dataclasses.field(
@@ -151,6 +154,7 @@
     can_resolve: bool = False
     is_resolving: bool = False
     resolver: messages.Address | None = None
+    has_waited: bool = False
     ended_at: messages.Address | None = None
     belief: ownership.Belief | None = None
     is_owner_stopping: bool = False
@@ -200,7 +204,7 @@
         belief: ownership.Belief | None = None,
         is_owner_stopping: bool = False,
     ) -> list[Step]:
-        """Begins a search, or adds a packet to the flow's current search.
+        """Begins a search for the owner of a flow that is not searched yet.
 
         Args:
             received: The packet.
@@ -214,14 +218,6 @@
             is_owner_stopping: Whether an agent that may own it is being
                 restarted by plan.
         """
-        search = self._lookups.get(received.flow)
-        if search is not None:
-            search.packets.append(received)
-            if search.probed_agent is not None and self._may_probe(
-                received.flow, search, now_ms
-            ):
-                return [search.probe(received)]
-            return []
         if len(self._lookups) >= MAX_LOOKUPS:
             self._counters["lookups_dropped_table_full"] += 1
             return []
@@ -238,6 +234,20 @@
         )
         return self._advance(received.flow, now_ms)
 
+    def is_searching(self, flow: packet.FlowKey) -> bool:
+        """Returns whether the owner of a flow is being searched."""
+        return flow in self._lookups
+
+    def add_packet(self, received: packet.Packet, now_ms: int) -> list[Step]:
+        """Adds a packet to the current search for its flow."""
+        search = self._lookups[received.flow]
+        search.packets.append(received)
+        if search.probed_agent is not None and self._may_probe(
+            received.flow, search, now_ms
+        ):
+            return [search.probe(received)]
+        return []
+
     def cancel(self, flow: packet.FlowKey) -> None:
         """Ends the search for the owner of a flow, without an outcome."""
         self._lookups.pop(flow, None)
@@ -296,7 +306,7 @@
             return []
         search.awaiting_answer.discard(answer.agent)
         if answer.verdict == messages.MAY_OWN:
-            search.possible_owners.append(answer.agent)
+            search.possible_owners.add(answer.agent)
         elif answer.verdict == messages.ENDED:
             search.ended_at = answer.agent
         return self._advance(answer.flow, now_ms)
@@ -314,8 +324,7 @@
             return []
         if search.probed_agent != agent:
             return []
-        if agent in search.possible_owners:
-            search.possible_owners.remove(agent)
+        search.possible_owners.discard(agent)
         search.probed_agent = None
         if not search.packets:
             search.packets.append(received)
@@ -330,10 +339,7 @@
                 self._counters["lookups_timed_out"] += 1
             elif search.is_resolving:
                 if now_ms - search.asked_ms > resolver.OUTCOME_MS:
-                    search.is_resolving = False
-                    if search.resolver is not None:
-                        steps.append(ResolverSilent(flow, search.resolver))
-                    steps.extend(self._advance(flow, now_ms))
+                    steps.append(self._on_unresolved(flow, search, now_ms))
             elif now_ms - search.asked_ms > ANSWER_MS:
                 if search.probed_agent is not None:
                     # Not returned, so the backend server may have the flow. To
@@ -348,6 +354,24 @@
                 steps.extend(self._advance(flow, now_ms))
         return steps
 
+    def _on_unresolved(
+        self, flow: packet.FlowKey, search: _Lookup, now_ms: int
+    ) -> Step:
+        """Gives a search without an outcome to another resolver, once."""
+        if search.has_waited or search.resolver is None:
+            del self._lookups[flow]
+            self._counters["lookups_unresolved"] += 1
+            return NoOwner(
+                flow,
+                list(search.packets),
+                silent=1,
+                has_asked_all=False,
+                belief=search.belief,
+            )
+        search.has_waited = True
+        search.asked_ms = now_ms
+        return ResolverSilent(flow, search.resolver)
+
     def _end_at(
         self, flow: packet.FlowKey, agent: messages.Address, now_ms: int
     ) -> list[Step]:
@@ -393,11 +417,16 @@
             wave = search.unasked[: search.next_wave]
             del search.unasked[: search.next_wave]
             search.next_wave *= 2
+            search.asked += wave
             search.awaiting_answer.update(wave)
             search.asked_ms = now_ms
             return [SendAsk(address, flow) for address in wave]
         if search.possible_owners and self._may_probe(flow, search, now_ms):
-            search.probed_agent = search.possible_owners[0]
+            search.probed_agent = next(
+                agent
+                for agent in search.asked
+                if agent in search.possible_owners
+            )
             search.asked_ms = now_ms
             return [search.probe(search.packets[-1])]
         if search.ended_at is not None:
--- a/sapphirelift/core/l4/resolver.py
+++ b/sapphirelift/core/l4/resolver.py
@@ -17,14 +17,16 @@
 
 # A balancer that knows fewer agents asks them itself.
 MIN_AGENTS = 32
-# One in this many balancers answers for the others.
-BALANCERS_PER_RESOLVER = 16
+# One in this many balancers answers for the others. A round of 64 flows takes
+# 120 ms while an agent is silent, so that one resolver ends 500 searches a
+# second; the callers of 8 balancers send packets on about as many lost flows.
+BALANCERS_PER_RESOLVER = 8
 # Time between the beginnings of two rounds: short against the 200 ms after
 # which callers retransmit, and long enough to collect flows.
 ROUND_INTERVAL_MS = 100
 # Time for the answers to a round, as for other questions (``lookup``).
 ANSWER_MS = 120
-# Time that a balancer waits for the outcome before it asks the agents itself:
+# Time that a balancer waits for the outcome before it resolves the flow itself:
 # two rounds, their answers and two messages.
 OUTCOME_MS = 500
 # A resolver that has not answered is not asked again for this long.
--- a/tests/test_l4_lookup.py
+++ b/tests/test_l4_lookup.py
@@ -88,3 +88,25 @@
         (found,) = search.lookups.tick(BEGIN_MS + 320)
         assert isinstance(found, lookup.Found)
         assert found.address == second.address
+
+
+class TestProbes:
+    """Packets sent to agents that may own a flow."""
+
+    # Guards against seconds without the owner after all agents have been
+    # restarted at once, when answers come in any order and only two packets
+    # may go astray.
+    def test_likeliest_agent_is_probed_first(self) -> None:
+        """Whichever agent has answered first."""
+        lookups = lookup.Lookups(collections.Counter())
+        known = _agents(6)
+        steps = lookups.begin(_packet(), known, BEGIN_MS)
+        for address in reversed(_asked(steps)):
+            answer = messages.Answer(FLOW, address, messages.MAY_OWN)
+            steps = lookups.on_answer(answer, BEGIN_MS + 5)
+        (probe,) = steps
+        assert isinstance(probe, lookup.Probe)
+        assert probe.address == known[0]
+        (probe,) = lookups.on_missed(FLOW, known[0], _packet(), BEGIN_MS + 10)
+        assert isinstance(probe, lookup.Probe)
+        assert probe.address == known[1]
