Count requests in progress by sequence numbers

Cause: any payload of a caller began a request if none ran on its flow. A retransmission after the answer, the rest of an upload that was answered early, and a probe of a flow that the server does not have held a slot for 2 s, so that agents refused and held openings though their servers had room.

Change: only bytes of a caller that have not been seen begin a request, and only if it has acknowledged all bytes of the server; only new bytes of the server end one. A request whose caller has left counts until it is answered or its usual time is over, because the server works on. A request without an answer counts for its route's time limit (2 s if unknown), and none outlives its server's start. Counting moves to core/l4/requests.py.

Tests that set the count do so where it is kept now; they assert the same.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -18,6 +18,7 @@
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import ownership
 from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import requests
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
 from sapphirelift.core.l4 import terms
@@ -40,13 +41,6 @@
 # as slots, the last one completes after twice the time of one request. This
 # meets the latency objective (five times that time) on a cold server too.
 EXTRA_OPENS_PER_SLOT = 1.0
-# A request without an answer for this long no longer counts as in progress, so
-# that lost answers do not reduce the capacity for other requests.
-MAX_REQUEST_MS = 2000
-# Smoothing factor of the exponential moving average of response times.
-RESPONSE_SMOOTHING = 0.1
-# Time constant of the moving average of requests in progress.
-ACTIVE_REQUESTS_AVERAGE_MS = 1000
 # The supervisor of an instance starts the processes of the agent and of its
 # backend server within this time. A backend server that started earlier may
 # have flows opened through an earlier incarnation of the agent.
@@ -143,10 +137,7 @@
         )
         self._unanswered_opens = 0
         self._unresponsive_until_ms = 0
-        self._active_requests = 0
-        self._average_active_requests = 0.0
-        self._average_updated_ms = now_ms
-        self._response_ms = 0.0
+        self._requests = requests.Requests(self.counters, now_ms)
         self._state = agents.UNAVAILABLE
         self._freshness = freshness.Freshness()
         self._resumed_number = 0
@@ -169,7 +160,7 @@
             "flows": self.flows.open_flows,
             "table": len(self.flows),
             "busy": self._active_requests,
-            "response_ms": round(self._response_ms, 1),
+            "response_ms": round(self._requests.response_ms, 1),
             "balancers": len(self.balancers),
             "has_full_table": self._has_full_table,
             "is_evacuated": self._is_evacuated,
@@ -238,6 +229,9 @@
             self._has_full_table = True
         self._unanswered_opens = 0
         self._unresponsive_until_ms = 0
+        if former is not None:
+            # The requests of the former one have ended with it.
+            self._requests.clear(now_ms)
         self._log(
             "backend_found",
             backend=report.backend_id,
@@ -371,7 +365,7 @@
             elif flow.phase.is_opening:
                 self._abandon_open(key, flow, agents.UNAVAILABLE, now_ms)
         self.flows.clear()
-        self._active_requests = 0
+        self._requests.clear(now_ms)
         # A server that starts now has no flows of before.
         self._has_full_table = True
         self._announce_state_change(now_ms)
@@ -449,10 +443,13 @@
             self._add_flow(received.flow, flow, now_ms)
             self.counters["flows_relearned"] += 1
         self.flows.touch(received.flow, flow, now_ms)
-        if received.payload_bytes and flow.request_ms is not None:
+        if received.payload_bytes and self._requests.is_answered_by(
+            flow, received
+        ):
             self._on_response(flow, now_ms)
         if received.is_fin or received.is_reset:
-            self._mark_ended(received.flow, flow, now_ms)
+            self._requests.on_server_ended(flow, now_ms)
+            self.flows.move(received.flow, flow, _Phase.ENDED)
         self._actions.append(actions.SendCaller(received))
 
     def _confirm_probed(
@@ -530,7 +527,7 @@
         balancer = flow.balancer
         phase = flow.phase
         if is_probe:
-            self._finish_request(flow, now_ms)
+            self._requests.finish(flow, now_ms)
             self.flows.move(key, flow, _Phase.RETURNED)
             self.flows.touch(key, flow, now_ms)
         else:
@@ -654,6 +651,7 @@
 
     def _active_and_expected_requests(self, now_ms: int) -> int:
         """Returns the number of requests in progress or about to arrive."""
+        self._requests.expire(now_ms)
         return self._active_requests + self.flows.expected_requests(now_ms)
 
     @property
@@ -821,13 +819,16 @@
             if received.only_acknowledges:
                 flow.caller_ack = deliver.data
         self.flows.touch(key, flow, now_ms)
-        if received.payload_bytes and flow.request_ms is None:
-            self._start_request(flow, now_ms)
+        if (
+            received.payload_bytes
+            and flow.can_bring_request
+            and self._requests.begins_with(flow, received)
+        ):
+            self._requests.start(flow, key, self._terms_of(key), now_ms)
+        if received.is_reset or received.is_fin:
+            self._requests.on_caller_left(flow, now_ms)
         if received.is_reset:
-            self._mark_ended(key, flow, now_ms)
-        elif received.is_fin:
-            # The caller no longer waits for an answer.
-            self._finish_request(flow, now_ms)
+            self.flows.move(key, flow, _Phase.ENDED)
         self._actions.append(actions.SendBackend(deliver.data))
 
     def _is_confirmed_by_caller(
@@ -919,52 +920,27 @@
 
     # Load.
 
-    def _update_average_active_requests(self, now_ms: int) -> None:
-        elapsed_ms = now_ms - self._average_updated_ms
-        if elapsed_ms > 0:
-            weight = min(elapsed_ms / ACTIVE_REQUESTS_AVERAGE_MS, 1.0)
-            self._average_active_requests += weight * (
-                self._active_requests - self._average_active_requests
-            )
-            self._average_updated_ms = now_ms
+    @property
+    def _active_requests(self) -> int:
+        """Number of requests in progress."""
+        return self._requests.active
 
     def _add_flow(
         self, key: packet.FlowKey, flow: flow_table.Flow, now_ms: int
     ) -> None:
         for removed in self.flows.add(key, flow):
-            self._finish_request(removed, now_ms)
+            self._requests.finish(removed, now_ms)
 
     def _remove_flow(self, key: packet.FlowKey, now_ms: int) -> None:
         """Removes a flow together with its request in progress."""
         removed = self.flows.remove(key)
         if removed is not None:
-            self._finish_request(removed, now_ms)
-
-    def _start_request(self, flow: flow_table.Flow, now_ms: int) -> None:
-        self._update_average_active_requests(now_ms)
-        flow.request_ms = now_ms
-        self._active_requests += 1
-
-    def _finish_request(self, flow: flow_table.Flow, now_ms: int) -> None:
-        if flow.request_ms is not None:
-            self._update_average_active_requests(now_ms)
-            flow.request_ms = None
-            self._active_requests -= 1
+            self._requests.finish(removed, now_ms)
 
     def _on_response(self, flow: flow_table.Flow, now_ms: int) -> None:
-        assert flow.request_ms is not None
-        took_ms = now_ms - flow.request_ms
-        self._finish_request(flow, now_ms)
+        self.samples.add("response", self._requests.answered(flow, now_ms))
         if self.flows.has_opening:
             self._forward_held_opens(now_ms)
-        self.samples.add("response", took_ms)
-        self._response_ms += RESPONSE_SMOOTHING * (took_ms - self._response_ms)
-
-    def _mark_ended(
-        self, key: packet.FlowKey, flow: flow_table.Flow, now_ms: int
-    ) -> None:
-        self._finish_request(flow, now_ms)
-        self.flows.move(key, flow, _Phase.ENDED)
 
     # Balancers.
 
@@ -1084,7 +1060,6 @@
 
     def heartbeat(self, now_ms: int) -> messages.Heartbeat:
         """Returns a heartbeat with the next number and the current state."""
-        self._update_average_active_requests(now_ms)
         self._heartbeat_number += 1
         return messages.Heartbeat(
             name=self.identity.name,
@@ -1097,8 +1072,8 @@
             state=self.state(now_ms),
             slots=self._slots,
             flows=self.flows.open_flows,
-            busy=round(self._average_active_requests, 2),
-            response_ms=round(self._response_ms, 1),
+            busy=round(self._requests.average(now_ms), 2),
+            response_ms=round(self._requests.response_ms, 1),
             cold_ms=self.backend.cold_ms(now_ms),
             has_full_table=self._has_full_table,
         )
@@ -1127,15 +1102,11 @@
 
     def sweep(self, now_ms: int) -> None:
         """Removes expired state; to be called every ``SWEEP_MS``."""
-        for _, flow in self.flows:
-            request_ms = flow.request_ms
-            if request_ms is not None and now_ms - request_ms > MAX_REQUEST_MS:
-                self._finish_request(flow, now_ms)
-                self.counters["requests_without_answer"] += 1
+        self._requests.expire(now_ms)
         for _, flow in self.flows.sweep(
             now_ms, idle_timeout_ms=self._idle_timeout_ms
         ):
-            self._finish_request(flow, now_ms)
+            self._requests.finish(flow, now_ms)
         self._complete_table(now_ms)
         self._announce_state_change(now_ms)
 
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -7,6 +7,7 @@
 
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import routes
 
 # Backend servers hold up to 2,000 connections, and as many may have ended
 # recently.
@@ -93,7 +94,13 @@
             before the first one.
         is_remembered: Whether a balancer has delivered packets of the flow to
             this agent before it started.
+        caller_end: Sequence number after the last byte seen of the caller's
+            payload; None before the first one.
+        server_end: The same of the backend server's payload.
         request_ms: When the request in progress began, None if there is none.
+        request_sent_ms: When it was sent to the backend server.
+        request_route: Its route.
+        has_caller_left: Whether its caller no longer waits for the answer.
     """
 
     phase: Phase
@@ -109,7 +116,12 @@
     caller_acknowledged: int = 0
     caller_ack: bytes = b""
     is_remembered: bool = False
+    caller_end: int | None = None
+    server_end: int | None = None
     request_ms: int | None = None
+    request_sent_ms: int = 0
+    request_route: routes.RouteKey = routes.RouteKey(0, 0)
+    has_caller_left: bool = False
 
     @property
     def is_claimed(self) -> bool:
@@ -118,6 +130,14 @@
             self.phase is Phase.PROBED and self.is_remembered
         )
 
+    @property
+    def can_bring_request(self) -> bool:
+        """Whether the backend server may run what the caller sends.
+
+        It may not have a flow that is only probed, and then runs nothing.
+        """
+        return self.is_claimed or self.phase is Phase.OPENING
+
     def can_include(self, received: packet.Packet) -> bool:
         """Returns whether a packet of the caller can belong to this flow.
 
--- a/sapphirelift/core/l4/packet.py
+++ b/sapphirelift/core/l4/packet.py
@@ -4,6 +4,8 @@
 
 # Callers stop retransmitting an opening packet after 1.4 s.
 OPEN_LIFETIME_MS = 1500
+# Sequence numbers wrap around after this one.
+MAX_SEQUENCE = (1 << 32) - 1
 
 
 class FlowKey(NamedTuple):
@@ -59,6 +61,11 @@
     payload_bytes: int
     raw: bytes
 
+    @property
+    def end(self) -> int:
+        """Sequence number after its last byte."""
+        return (self.sequence + self.payload_bytes) & MAX_SEQUENCE
+
     @property
     def only_acknowledges(self) -> bool:
         """Whether a copy of it has no effect on the flow it belongs to."""
@@ -80,6 +87,15 @@
         return self.sequence == sequence and age_ms <= OPEN_LIFETIME_MS
 
 
+def is_after(sequence: int, other: int) -> bool:
+    """Returns whether a sequence number follows one near it, modulo 2**32.
+
+    >>> is_after(3, MAX_SEQUENCE)
+    True
+    """
+    return 0 < (sequence - other) & MAX_SEQUENCE < 1 << 31
+
+
 def ip_text(ip: int) -> str:
     """Returns an IPv4 address in dotted decimal notation.
 
--- /dev/null
+++ b/sapphirelift/core/l4/requests.py
@@ -0,0 +1,193 @@
+"""Requests in progress at the backend server, as packets show them.
+
+A request begins with the first bytes of a caller that have not been seen yet,
+and ends with the first new bytes of the server: it has produced its answer
+then, and the slot is free.
+"""
+
+import collections
+import heapq
+import itertools
+
+from sapphirelift.core.l4 import flow_table
+from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import routes
+from sapphirelift.core.l4 import terms as terms_module
+
+# Time after which a request without an answer no longer counts as in progress
+# if the time limit of its route is not known.
+MAX_REQUEST_MS = 2000
+# Smoothing factor of the exponential moving average of response times.
+RESPONSE_SMOOTHING = 0.1
+# Time constant of the moving average of requests in progress.
+ACTIVE_REQUESTS_AVERAGE_MS = 1000
+# Routes whose usual time is remembered; a configuration has up to 1,400.
+MAX_ROUTES = 4096
+
+
+class Requests:
+    """Counts the requests that the backend server has not answered.
+
+    Attributes:
+        active: Number of requests at the backend server.
+        response_ms: Moving average of the time from a request to its answer.
+    """
+
+    def __init__(self, counters: collections.Counter[str], now_ms: int) -> None:
+        """Creates the count.
+
+        Args:
+            counters: Event counts by name.
+            now_ms: Current time.
+        """
+        self.active = 0
+        self.response_ms = 0.0
+        self._counters = counters
+        self._average = 0.0
+        self._average_updated_ms = now_ms
+        # Usual time of a request at the server, by route.
+        self._usual_ms: dict[routes.RouteKey, float] = {}
+        # Times at which requests no longer count, with the flow and the time
+        # of its request; entries of requests that have ended are left in.
+        self._expiries: list[tuple[int, int, flow_table.Flow, int]] = []
+        self._numbers = itertools.count()
+
+    def begins_with(
+        self, flow: flow_table.Flow, received: packet.Packet
+    ) -> bool:
+        """Notes a caller's payload; returns whether it begins a request.
+
+        Bytes that have been seen are a retransmission. A caller that has not
+        acknowledged all bytes of the server still sends an earlier request,
+        whose answer has begun.
+        """
+        seen = flow.caller_end
+        if seen is None and flow.caller_sequence is not None:
+            seen = (flow.caller_sequence + 1) & packet.MAX_SEQUENCE
+        if seen is not None and not packet.is_after(received.end, seen):
+            return False
+        flow.caller_end = received.end
+        if flow.request_ms is not None:
+            return False
+        answered = flow.server_end
+        return not (
+            answered is not None
+            and received.is_ack
+            and packet.is_after(answered, received.acknowledged)
+        )
+
+    def start(
+        self,
+        flow: flow_table.Flow,
+        key: packet.FlowKey,
+        terms: terms_module.Terms,
+        now_ms: int,
+    ) -> None:
+        """Counts a request that is sent to the backend server.
+
+        It counts for the time limit of its route at most, after which its
+        caller has given up: a lost answer takes no room from others.
+        """
+        self._update_average(now_ms)
+        flow.request_ms = now_ms
+        flow.request_sent_ms = now_ms
+        flow.request_route = routes.RouteKey(key.route_ip, key.route_port)
+        flow.has_caller_left = False
+        self.active += 1
+        self._expire_at(flow, now_ms + (terms.timeout_ms or MAX_REQUEST_MS))
+
+    def is_answered_by(
+        self, flow: flow_table.Flow, received: packet.Packet
+    ) -> bool:
+        """Notes a server's payload; returns whether it answers a request.
+
+        The server may send packets of an earlier answer again.
+        """
+        seen = flow.server_end
+        if seen is None and flow.initial_sequence is not None:
+            seen = (flow.initial_sequence + 1) & packet.MAX_SEQUENCE
+        if seen is not None and not packet.is_after(received.end, seen):
+            return False
+        flow.server_end = received.end
+        return flow.request_ms is not None
+
+    def answered(self, flow: flow_table.Flow, now_ms: int) -> int:
+        """Ends a request that has been answered; returns how long it took."""
+        assert flow.request_ms is not None
+        took_ms = now_ms - flow.request_ms
+        at_server_ms = now_ms - flow.request_sent_ms
+        route = flow.request_route
+        usual_ms = self._usual_ms.get(route)
+        if usual_ms is not None:
+            usual_ms += RESPONSE_SMOOTHING * (at_server_ms - usual_ms)
+            self._usual_ms[route] = usual_ms
+        elif len(self._usual_ms) < MAX_ROUTES:
+            self._usual_ms[route] = float(at_server_ms)
+        self.response_ms += RESPONSE_SMOOTHING * (took_ms - self.response_ms)
+        self.finish(flow, now_ms)
+        return took_ms
+
+    def finish(self, flow: flow_table.Flow, now_ms: int) -> None:
+        """Ends a flow's request in progress, if there is one."""
+        if flow.request_ms is not None:
+            self._update_average(now_ms)
+            flow.request_ms = None
+            self.active -= 1
+
+    def on_caller_left(self, flow: flow_table.Flow, now_ms: int) -> None:
+        """Notes that the caller no longer waits for an answer.
+
+        The server is not told to stop, and may never answer on this flow. It
+        is taken to be busy for the usual time of such a request.
+        """
+        if flow.request_ms is None or flow.has_caller_left:
+            return
+        flow.has_caller_left = True
+        usual_ms = self._usual_ms.get(flow.request_route, 0.0)
+        self._expire_at(flow, flow.request_sent_ms + round(usual_ms))
+        self.expire(now_ms)
+
+    def on_server_ended(self, flow: flow_table.Flow, now_ms: int) -> None:
+        """Notes that the server has ended a flow.
+
+        It also ends the flow of a caller that has left while it is at work.
+        """
+        if not flow.has_caller_left:
+            self.finish(flow, now_ms)
+
+    def expire(self, now_ms: int) -> None:
+        """Ends the requests that no longer count."""
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            _, _, flow, request_ms = heapq.heappop(self._expiries)
+            if flow.request_ms != request_ms:
+                continue
+            if not flow.has_caller_left:
+                self._counters["requests_without_answer"] += 1
+            self.finish(flow, now_ms)
+
+    def clear(self, now_ms: int) -> None:
+        """Forgets all requests: their server has ended."""
+        self._update_average(now_ms)
+        for _, _, flow, _ in self._expiries:
+            flow.request_ms = None
+        self._expiries.clear()
+        self.active = 0
+
+    def average(self, now_ms: int) -> float:
+        """Returns the moving average of requests in progress."""
+        self.expire(now_ms)
+        self._update_average(now_ms)
+        return self._average
+
+    def _update_average(self, now_ms: int) -> None:
+        elapsed_ms = now_ms - self._average_updated_ms
+        if elapsed_ms > 0:
+            weight = min(elapsed_ms / ACTIVE_REQUESTS_AVERAGE_MS, 1.0)
+            self._average += weight * (self.active - self._average)
+            self._average_updated_ms = now_ms
+
+    def _expire_at(self, flow: flow_table.Flow, at_ms: int) -> None:
+        assert flow.request_ms is not None
+        heapq.heappush(
+            self._expiries, (at_ms, next(self._numbers), flow, flow.request_ms)
+        )
--- a/tests/test_l4_bounded_state.py
+++ b/tests/test_l4_bounded_state.py
@@ -124,7 +124,7 @@
         now_ms = NOW_MS + agent_module.ACCEPT_MS
         core.tick(now_ms)
         assert core.flows.get(flow_of_port(1)) is None
-        core._active_requests = 100
+        core._requests.active = 100
         offer(core, 1, now_ms)
         assert len(core.flows.held()) == 1
         accepted = flow_ends.from_backend(
@@ -132,7 +132,7 @@
         )
         core.on_backend_packet(packets.decode_from_backend(accepted), now_ms)
         core.drain_actions()
-        core._active_requests = 0
+        core._requests.active = 0
         core.tick(now_ms + later_ms)
         assert core.flows.get(flow_of_port(1)) is not None
         assert not core.flows.held()
--- a/tests/test_l4_failures.py
+++ b/tests/test_l4_failures.py
@@ -120,7 +120,7 @@
         host = next(iter(net.agents.values()))
         core = host.agent
         core.observe(net.now_ms, net.now_ms)
-        core._active_requests = 100
+        core._requests.active = 100
         core.on_open(
             messages.Open("shop", PEER, (), False, syn(1).raw),
             syn(1),
