Send from where requests are kept; questions out of the agent

Change: core/l4/requests.py sends, holds or drops a packet itself, so that the agent only says how much room its server has; a flow has a time at which its request was sent to the server, beside the time at which it began. Questions to a server that has started again are a module of their own.

Files run: requests, request_queue, bounded_state, failures, flows, hearsay: 166 passed.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -18,6 +18,7 @@
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import ownership
 from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import questions
 from sapphirelift.core.l4 import requests
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
@@ -52,9 +53,6 @@
 SWEEP_MS = 1000
 # Routes whose terms are remembered; a configuration has up to 1,400.
 MAX_ROUTES = 4096
-# Flows of which the backend server is asked in one tick. A socket's default
-# buffer holds about 270 small packets.
-QUESTIONS_PER_TICK = 64
 
 
 class Identity(NamedTuple):
@@ -130,17 +128,17 @@
         self._max_flows = 0
         self._idle_timeout_ms = 15_000
         self._heartbeat_number = 0
-        # Open flows of which the backend server has yet to show that it has
-        # them.
         # Terms of the routes for which flows have been offered.
         self._terms: dict[routes.RouteKey, terms.Terms] = {}
-        self._questioned: collections.deque[packet.FlowKey] = (
-            collections.deque()
-        )
+        self._questions = questions.Questions(self.flows)
         self._unanswered_opens = 0
         self._unresponsive_until_ms = 0
         self._requests = requests.Requests(
-            self.counters, self.samples, self._log, now_ms
+            self.counters,
+            self.samples,
+            send=self._send_backend,
+            log=self._log,
+            now_ms=now_ms,
         )
         self._state = agents.UNAVAILABLE
         self._freshness = freshness.Freshness()
@@ -157,7 +155,7 @@
         """Whether ``tick`` has openings, requests or questions to forward."""
         return (
             self.flows.has_opening
-            or bool(self._questioned)
+            or bool(self._questions)
             or bool(self._requests.waiting)
         )
 
@@ -197,7 +195,7 @@
         self._log("resumed", held=len(held), flows=self.flows.open_flows)
         for key, flow in held:
             self._abandon_open(key, flow, "stale", now_ms)
-        self._send_backend(self._requests.release(requests.UNLIMITED, now_ms))
+        self._requests.release(requests.UNLIMITED, now_ms)
         self.announce(now_ms)
 
     # The backend server.
@@ -225,7 +223,8 @@
         ):
             self._on_new_backend(former, report, now_ms)
             if former is not None:
-                self._question_open_flows()
+                self._questions.add_open_flows()
+                self._send_questions()
         self._announce_state_change(now_ms)
 
     def _on_new_backend(
@@ -242,7 +241,7 @@
         if former is not None:
             # The requests of the former one have ended with it. Those held are
             # returned, so that their callers hear at once.
-            self._release_all_requests(now_ms)
+            self._requests.release(requests.UNLIMITED, now_ms)
             self._requests.clear(now_ms)
         self._log(
             "backend_found",
@@ -272,26 +271,10 @@
             and report.number <= possible_reports
         )
 
-    def _question_open_flows(self) -> None:
-        """Finds out which of the open flows the backend server still has.
-
-        It returns a packet of a flow that it does not have, and ignores the
-        copy of an acknowledgement on one that it has.
-        """
-        self._questioned.extend(
-            key for key, flow in self.flows if flow.phase is _Phase.OPEN
-        )
-        self._send_questions()
-
     def _send_questions(self) -> None:
-        """Sends copies of some callers' last acknowledgements."""
-        for _ in range(min(len(self._questioned), QUESTIONS_PER_TICK)):
-            flow = self.flows.get(self._questioned.popleft())
-            if flow is None or flow.phase is not _Phase.OPEN:
-                continue
-            if flow.caller_ack:
-                self.counters["flows_questioned"] += 1
-                self._actions.append(actions.SendBackend(flow.caller_ack))
+        for data in self._questions.take():
+            self.counters["flows_questioned"] += 1
+            self._send_backend(data)
 
     def on_end(
         self, backend_id: str, now_ms: int, *, born_ms: int | None = None
@@ -396,7 +379,7 @@
 
         Requests that are held for another state go to the backend server.
         """
-        self._release_requests(now_ms)
+        self._requests.release(self._request_room(now_ms), now_ms)
         state = self.state(now_ms)
         if state == self._state:
             return
@@ -464,7 +447,7 @@
         ):
             self._on_response(flow, now_ms)
         if received.is_fin or received.is_reset:
-            self._send_backend(self._requests.on_server_ended(flow, now_ms))
+            self._requests.on_server_ended(flow, now_ms)
             self.flows.move(received.flow, flow, _Phase.ENDED)
         self._actions.append(actions.SendCaller(received))
 
@@ -835,42 +818,30 @@
             if received.only_acknowledges:
                 flow.caller_ack = deliver.data
         self.flows.touch(key, flow, now_ms)
-        passed = self._requests.on_caller_packet(
+        self._requests.on_caller_packet(
             flow,
             received,
             self._terms_of(key),
-            room=self._room(now_ms),
+            room=self._request_room(now_ms),
             now_ms=now_ms,
         )
-        self._send_backend(passed)
-        self._release_requests(now_ms)
         if received.is_reset:
             self.flows.move(key, flow, _Phase.ENDED)
 
-    def _room(self, now_ms: int) -> float:
+    def _request_room(self, now_ms: int) -> float:
         """Returns how many requests the backend server may have at once.
 
-        One that is about to leave gets what it has to do at once, and so does
-        the server of an agent that leaves.
+        Nothing is held back if it or the agent is about to leave.
         """
-        if not self.load_settings.queues_requests:
-            return requests.UNLIMITED
-        if self.state(now_ms) != agents.READY:
-            return requests.UNLIMITED
-        return self._slots + requests.EXTRA_REQUESTS
-
-    def _release_requests(self, now_ms: int) -> None:
-        """Sends the held requests for which there is room."""
-        if self._requests.waiting:
-            room = self._room(now_ms)
-            self._send_backend(self._requests.release(room, now_ms))
-
-    def _release_all_requests(self, now_ms: int) -> None:
-        released = self._requests.release(requests.UNLIMITED, now_ms)
-        self._send_backend(released)
+        if (
+            self.load_settings.queues_requests
+            and self.state(now_ms) == agents.READY
+        ):
+            return self._slots + requests.EXTRA_REQUESTS
+        return requests.UNLIMITED
 
-    def _send_backend(self, packets: list[bytes]) -> None:
-        self._actions.extend(map(actions.SendBackend, packets))
+    def _send_backend(self, data: bytes) -> None:
+        self._actions.append(actions.SendBackend(data))
 
     def _is_confirmed_by_caller(
         self,
@@ -980,7 +951,7 @@
 
     def _on_response(self, flow: flow_table.Flow, now_ms: int) -> None:
         self.samples.add("response", self._requests.answered(flow, now_ms))
-        self._release_requests(now_ms)
+        self._requests.release(self._request_room(now_ms), now_ms)
         if self.flows.has_opening:
             self._forward_held_opens(now_ms)
 
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -97,7 +97,8 @@
             payload; None before the first one.
         server_end: The same of the backend server's payload.
         request_ms: When the request in progress began, None if there is none.
-        request_sent_ms: When it was sent to the backend server.
+        request_sent_ms: When it was sent to the backend server; None if it
+            is held.
         request_key: The key of the flow, if it has had a request.
         has_caller_left: Whether its caller no longer waits for the answer.
         is_given_up: Whether the caller has left before its request was sent.
@@ -119,7 +120,7 @@
     caller_end: int | None = None
     server_end: int | None = None
     request_ms: int | None = None
-    request_sent_ms: int = 0
+    request_sent_ms: int | None = None
     request_key: packet.FlowKey | None = None
     has_caller_left: bool = False
     is_given_up: bool = False
--- a/sapphirelift/core/l4/requests.py
+++ b/sapphirelift/core/l4/requests.py
@@ -48,6 +48,8 @@
         self,
         counters: collections.Counter[str],
         samples: samples_module.Samples,
+        *,
+        send: Callable[[bytes], None],
         log: Callable[..., None],
         now_ms: int,
     ) -> None:
@@ -56,12 +58,14 @@
         Args:
             counters: Event counts by name.
             samples: Gets the time for which requests were held.
+            send: Sends a packet to the backend server.
             log: Writes a log line of an event and its fields.
             now_ms: Current time.
         """
         self.active = 0
         self.response_ms = 0.0
         self._counters = counters
+        self._send = send
         self._held = held_requests.HeldRequests(
             counters, samples, log, self._work_ms
         )
@@ -92,8 +96,8 @@
         *,
         room: float,
         now_ms: int,
-    ) -> list[bytes]:
-        """Handles a packet of a caller; ``release`` is to be called then.
+    ) -> None:
+        """Sends a packet of a caller to the server, or holds or drops it.
 
         Args:
             flow: Its flow.
@@ -101,25 +105,36 @@
             terms: Terms of its route.
             room: Number of requests that the server may have at once.
             now_ms: Current time.
-
-        Returns:
-            The packet if it goes to the server now.
         """
+        if self._is_passed(flow, received, terms, room=room, now_ms=now_ms):
+            self._send(received.raw)
+        self.release(room, now_ms)
+
+    def _is_passed(
+        self,
+        flow: flow_table.Flow,
+        received: packet.Packet,
+        terms: terms_module.Terms,
+        *,
+        room: float,
+        now_ms: int,
+    ) -> bool:
+        """Counts or holds a packet; returns whether it goes to the server."""
         key = received.flow
         if received.is_reset or (
             received.is_fin and not received.payload_bytes
         ):
             self._on_caller_left(flow, now_ms)
         if not received.payload_bytes or not flow.can_bring_request:
-            return [received.raw]
+            return True
         if key in self._held:
-            return [] if self._held.add(received) else [received.raw]
+            return not self._held.add(received)
         if not self._begins_with(flow, received):
-            return [received.raw]
+            return True
         if flow.is_given_up:
             self._counters["packets_given_up"] += 1
             flow.caller_end = received.sequence
-            return []
+            return False
         self._update_average(now_ms)
         flow.request_ms = now_ms
         flow.request_key = key
@@ -128,30 +143,29 @@
         may_wait = flow.phase is flow_table.Phase.OPEN
         if may_wait and (self._held or self.active >= room):
             self._held.hold(flow, received, terms, now_ms)
-            return []
+            return False
         self._count_sent(flow, terms, now_ms)
-        return [received.raw]
+        return True
 
-    def release(self, room: float, now_ms: int) -> list[bytes]:
-        """Returns the held packets that go to the server now, in order.
+    def release(self, room: float, now_ms: int) -> None:
+        """Sends the held requests for which there is room.
 
         Args:
             room: Number of requests that the server may have at once.
             now_ms: Current time.
         """
         self.expire(now_ms)
-        if not self._held:
-            return []
-        released = self._held.take_overdue(now_ms)
-        for held in released:
-            self._count_sent(held.flow, held.terms, now_ms)
+        for held in self._held.take_overdue(now_ms):
+            self._send_held(held, now_ms)
         while self._held and self.active < room:
-            released.append(self._held.take_next(now_ms))
-            self._count_sent(released[-1].flow, released[-1].terms, now_ms)
+            self._send_held(self._held.take_next(now_ms), now_ms)
         while self._held.is_over_limit:
-            released.append(self._held.take_least_urgent(now_ms))
-            self._count_sent(released[-1].flow, released[-1].terms, now_ms)
-        return [data for held in released for data in held.packets.values()]
+            self._send_held(self._held.take_least_urgent(now_ms), now_ms)
+
+    def _send_held(self, held: held_requests.Held, now_ms: int) -> None:
+        self._count_sent(held.flow, held.terms, now_ms)
+        for data in held.packets.values():
+            self._send(data)
 
     def _begins_with(
         self, flow: flow_table.Flow, received: packet.Packet
@@ -206,14 +220,15 @@
         if seen is not None and not packet.is_after(received.end, seen):
             return False
         flow.server_end = received.end
-        return flow.request_ms is not None and received.flow not in self._held
+        return flow.request_sent_ms is not None
 
     def answered(self, flow: flow_table.Flow, now_ms: int) -> int:
         """Ends a request that has been answered; returns how long it took."""
         assert flow.request_ms is not None
+        assert flow.request_sent_ms is not None
+        assert flow.request_key is not None
         took_ms = now_ms - flow.request_ms
         at_server_ms = now_ms - flow.request_sent_ms
-        assert flow.request_key is not None
         route = _route_of(flow.request_key)
         usual_ms = self._usual_ms.get(route)
         if usual_ms is not None:
@@ -230,11 +245,12 @@
         if flow.request_ms is None:
             return
         self._update_average(now_ms)
-        if flow.request_key in self._held:
+        if flow.request_sent_ms is None:
             assert flow.request_key is not None
             self._held.drop(flow.request_key)
             return
         flow.request_ms = None
+        flow.request_sent_ms = None
         self.active -= 1
 
     def _on_caller_left(self, flow: flow_table.Flow, now_ms: int) -> None:
@@ -248,7 +264,7 @@
             return
         assert flow.request_key is not None
         flow.has_caller_left = True
-        if flow.request_key in self._held:
+        if flow.request_sent_ms is None:
             flow.is_given_up = True
             self._counters["held_requests_caller_left"] += 1
             self.finish(flow, now_ms)
@@ -257,24 +273,18 @@
         self._expire_at(flow, flow.request_sent_ms + usual_ms)
         self.expire(now_ms)
 
-    def on_server_ended(
-        self, flow: flow_table.Flow, now_ms: int
-    ) -> list[bytes]:
+    def on_server_ended(self, flow: flow_table.Flow, now_ms: int) -> None:
         """Notes that the server has ended a flow.
 
         It also ends the flow of a caller that has left while it is at work.
-
-        Returns:
-            Held packets of the flow, which the server refuses.
+        It refuses what is held of the flow, so that the caller hears at once.
         """
-        key = flow.request_key
-        if key is not None and key in self._held:
-            self._update_average(now_ms)
-            flow.request_ms = None
-            return list(self._held.take(key, now_ms).packets.values())
+        if flow.request_ms is not None and flow.request_sent_ms is None:
+            assert flow.request_key is not None
+            key = flow.request_key
+            self._send_held(self._held.take(key, now_ms), now_ms)
         if not flow.has_caller_left:
             self.finish(flow, now_ms)
-        return []
 
     def expire(self, now_ms: int) -> None:
         """Ends the requests that no longer count."""
@@ -292,6 +302,7 @@
         self._held.clear()
         for _, _, flow, _ in self._expiries:
             flow.request_ms = None
+            flow.request_sent_ms = None
         self._expiries.clear()
         self.active = 0
 
