--- a/sapphirelift/core/l4/requests.py
+++ b/sapphirelift/core/l4/requests.py
@@ -155,6 +155,8 @@
             now_ms: Current time.
         """
         self.expire(now_ms)
+        if not self._held:
+            return
         for held in self._held.take_overdue(now_ms):
             self._send_held(held, now_ms)
         while self._held and self.active < room:
