Let three tests of held requests see that they are held

They passed without the queue too. Measured: with the queue left out, 15 of the 17 tests of load and holding fail; the other two describe that case.

--- a/tests/test_l4_requests.py
+++ b/tests/test_l4_requests.py
@@ -499,7 +499,9 @@
                 patch.setattr(held_requests, limit, value)
                 world, _ = full_world()
                 caller = world.caller()
-                sent = [caller.request(b"x" * 1200) for _ in range(3)]
+                sent = [caller.request(b"x" * 1200) for _ in range(2)]
+                assert world.sent() == []
+                sent.append(caller.request(b"x" * 1200))
                 assert [data.raw for data in world.sent()] == sent
 
     def test_lost_answer(self) -> None:
@@ -508,7 +510,10 @@
         terms = TERMS._replace(timeout_ms=5000)
         caller = world.caller(terms=terms, route=STREAM_PORT)
         caller.request()
-        world.now_ms += TERMS.timeout_ms
+        world.now_ms += TERMS.timeout_ms - 1
+        world.core.tick(world.now_ms)
+        assert world.sent() == []
+        world.now_ms += 1
         world.core.tick(world.now_ms)
         assert len(world.sent()) == 1
 
@@ -539,6 +544,7 @@
         world, _ = full_world()
         caller = world.caller()
         request = caller.request()
+        assert world.sent() == []
         caller.answer(b"", flags=FIN)
         assert [data.raw for data in world.sent()] == [request]
         assert world.busy == 2
