Let a server hear of a flow while a request of it is held

Cause: while packets of a flow are held, its server hears nothing of it. If others of its packets go astray meanwhile (an opening accepted twice, an agent that has started again), none reaches its own server, and a server that has lost the flow can't say so.

Change: the server gets a copy of the caller's last acknowledgement for the first packet held and for each copy. Flows of which none has passed are not held.

--- a/sapphirelift/core/l4/held_requests.py
+++ b/sapphirelift/core/l4/held_requests.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import enum
 from collections.abc import Callable
 
 from sapphirelift.core.l4 import flow_table
@@ -24,6 +25,14 @@
 SPELL_GAP_MS = 1000
 
 
+class Place(enum.Enum):
+    """Where a packet belongs on a flow of which a request is held."""
+
+    BEFORE = "before"
+    COPY = "copy"
+    NEW = "new"
+
+
 @dataclasses.dataclass(slots=True)
 class Held:
     """One request that is held.
@@ -134,27 +143,27 @@
         )
         self.add(received)
 
-    def add(self, received: packet.Packet) -> bool:
-        """Holds a further packet of a held request, or recognises a copy.
+    def add(self, received: packet.Packet) -> Place:
+        """Holds a packet of a flow of which a request is held.
 
         Returns:
-            Whether the packet belongs to the held request, and not to an
-            earlier one.
+            Whether it belongs to an earlier request and is not held, is a
+            copy of a held one, or has been added.
         """
         held = self._held[received.flow]
         if not packet.is_after(received.end, held.first):
-            return False
+            return Place.BEFORE
         place = (received.sequence, received.payload_bytes)
         if place in held.packets:
             self._counters["held_packets_repeated"] += 1
-            return True
+            return Place.COPY
         held.packets[place] = received.raw
         end = held.flow.caller_end
         if end is None or packet.is_after(received.end, end):
             held.flow.caller_end = received.end
         self._packets += 1
         self._bytes += len(received.raw)
-        return True
+        return Place.NEW
 
     def take_next(self, now_ms: int) -> Held:
         """Removes and returns the request that goes next."""
--- a/sapphirelift/core/l4/requests.py
+++ b/sapphirelift/core/l4/requests.py
@@ -128,7 +128,10 @@
         if not received.payload_bytes or not flow.can_bring_request:
             return True
         if key in self._held:
-            return not self._held.add(received)
+            place = self._held.add(received)
+            if place is held_requests.Place.COPY:
+                self._send(flow.caller_ack)
+            return place is held_requests.Place.BEFORE
         if not self._begins_with(flow, received):
             return True
         if flow.is_given_up:
@@ -140,9 +143,13 @@
         flow.request_key = key
         flow.has_caller_left = False
         self.expire(now_ms)
-        may_wait = flow.phase is flow_table.Phase.OPEN
+        # Instead of a packet that is held, the server gets a copy of one that
+        # it has had: it returns that if it has lost the flow, and a flow whose
+        # packets also go astray is heard of by its own server.
+        may_wait = flow.phase is flow_table.Phase.OPEN and flow.caller_ack
         if may_wait and (self._held or self.active >= room):
             self._held.hold(flow, received, terms, now_ms)
+            self._send(flow.caller_ack)
             return False
         self._count_sent(flow, terms, now_ms)
         return True
