--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -18,6 +18,8 @@
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import ownership
 from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import questions
+from sapphirelift.core.l4 import requests
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
 from sapphirelift.core.l4 import terms
@@ -40,13 +42,6 @@
 # as slots, the last one completes after twice the time of one request. This
 # meets the latency objective (five times that time) on a cold server too.
 EXTRA_OPENS_PER_SLOT = 1.0
-# A request without an answer for this long no longer counts as in progress, so
-# that lost answers do not reduce the capacity for other requests.
-MAX_REQUEST_MS = 2000
-# Smoothing factor of the exponential moving average of response times.
-RESPONSE_SMOOTHING = 0.1
-# Time constant of the moving average of requests in progress.
-ACTIVE_REQUESTS_AVERAGE_MS = 1000
 # The supervisor of an instance starts the processes of the agent and of its
 # backend server within this time. A backend server that started earlier may
 # have flows opened through an earlier incarnation of the agent.
@@ -58,9 +53,6 @@
 SWEEP_MS = 1000
 # Routes whose terms are remembered; a configuration has up to 1,400.
 MAX_ROUTES = 4096
-# Flows of which the backend server is asked in one tick. A socket's default
-# buffer holds about 270 small packets.
-QUESTIONS_PER_TICK = 64
 
 
 class Identity(NamedTuple):
@@ -84,8 +76,8 @@
         balancers: Known balancers and when each gets its next heartbeat.
         store_era: Newest era of the store that a balancer has announced.
         counters: Event counts by name.
-        samples: Latencies for histograms: of accepted openings, and from a
-            request to its answer.
+        samples: Latencies for histograms: of accepted openings, from a
+            request to its answer, and of requests that were held.
     """
 
     def __init__(
@@ -119,7 +111,9 @@
         self.balancers = heartbeats.Schedule()
         self.store_era = 0
         self.counters: collections.Counter[str] = collections.Counter()
-        self.samples = samples.Samples("backend_accept", "response")
+        self.samples = samples.Samples(
+            "backend_accept", "response", "request_wait"
+        )
         self._report_interval_ms = report_interval_ms
         self._started_unix_ms = started_unix_ms
         self._started_ms = now_ms
@@ -134,19 +128,18 @@
         self._max_flows = 0
         self._idle_timeout_ms = 15_000
         self._heartbeat_number = 0
-        # Open flows of which the backend server has yet to show that it has
-        # them.
         # Terms of the routes for which flows have been offered.
         self._terms: dict[routes.RouteKey, terms.Terms] = {}
-        self._questioned: collections.deque[packet.FlowKey] = (
-            collections.deque()
-        )
+        self._questions = questions.Questions(self.flows)
         self._unanswered_opens = 0
         self._unresponsive_until_ms = 0
-        self._active_requests = 0
-        self._average_active_requests = 0.0
-        self._average_updated_ms = now_ms
-        self._response_ms = 0.0
+        self._requests = requests.Requests(
+            self.counters,
+            self.samples,
+            send=self._send_backend,
+            log=self._log,
+            now_ms=now_ms,
+        )
         self._state = agents.UNAVAILABLE
         self._freshness = freshness.Freshness()
         self._resumed_number = 0
@@ -159,8 +152,12 @@
 
     @property
     def has_pending(self) -> bool:
-        """Whether ``tick`` has openings or questions to forward."""
-        return self.flows.has_opening or bool(self._questioned)
+        """Whether ``tick`` has openings, requests or questions to forward."""
+        return (
+            self.flows.has_opening
+            or bool(self._questions)
+            or bool(self._requests.waiting)
+        )
 
     def dump(self, now_ms: int) -> dict[str, object]:
         """Returns the internal state for operators."""
@@ -169,7 +166,8 @@
             "flows": self.flows.open_flows,
             "table": len(self.flows),
             "busy": self._active_requests,
-            "response_ms": round(self._response_ms, 1),
+            "waiting": self._requests.waiting,
+            "response_ms": round(self._requests.response_ms, 1),
             "balancers": len(self.balancers),
             "has_full_table": self._has_full_table,
             "is_evacuated": self._is_evacuated,
@@ -197,6 +195,7 @@
         self._log("resumed", held=len(held), flows=self.flows.open_flows)
         for key, flow in held:
             self._abandon_open(key, flow, "stale", now_ms)
+        self._requests.release(requests.UNLIMITED, now_ms)
         self.announce(now_ms)
 
     # The backend server.
@@ -224,7 +223,8 @@
         ):
             self._on_new_backend(former, report, now_ms)
             if former is not None:
-                self._question_open_flows()
+                self._questions.add_open_flows()
+                self._send_questions()
         self._announce_state_change(now_ms)
 
     def _on_new_backend(
@@ -238,6 +238,11 @@
             self._has_full_table = True
         self._unanswered_opens = 0
         self._unresponsive_until_ms = 0
+        if former is not None:
+            # The requests of the former one have ended with it. Those held are
+            # returned, so that their callers hear at once.
+            self._requests.release(requests.UNLIMITED, now_ms)
+            self._requests.clear(now_ms)
         self._log(
             "backend_found",
             backend=report.backend_id,
@@ -266,26 +271,10 @@
             and report.number <= possible_reports
         )
 
-    def _question_open_flows(self) -> None:
-        """Finds out which of the open flows the backend server still has.
-
-        It returns a packet of a flow that it does not have, and ignores the
-        copy of an acknowledgement on one that it has.
-        """
-        self._questioned.extend(
-            key for key, flow in self.flows if flow.phase is _Phase.OPEN
-        )
-        self._send_questions()
-
     def _send_questions(self) -> None:
-        """Sends copies of some callers' last acknowledgements."""
-        for _ in range(min(len(self._questioned), QUESTIONS_PER_TICK)):
-            flow = self.flows.get(self._questioned.popleft())
-            if flow is None or flow.phase is not _Phase.OPEN:
-                continue
-            if flow.caller_ack:
-                self.counters["flows_questioned"] += 1
-                self._actions.append(actions.SendBackend(flow.caller_ack))
+        for data in self._questions.take():
+            self.counters["flows_questioned"] += 1
+            self._send_backend(data)
 
     def on_end(
         self, backend_id: str, now_ms: int, *, born_ms: int | None = None
@@ -371,7 +360,7 @@
             elif flow.phase.is_opening:
                 self._abandon_open(key, flow, agents.UNAVAILABLE, now_ms)
         self.flows.clear()
-        self._active_requests = 0
+        self._requests.clear(now_ms)
         # A server that starts now has no flows of before.
         self._has_full_table = True
         self._announce_state_change(now_ms)
@@ -386,7 +375,11 @@
         return self.backend.state(now_ms)
 
     def _announce_state_change(self, now_ms: int) -> None:
-        """Sends heartbeats immediately if the state has changed."""
+        """Sends heartbeats immediately if the state has changed.
+
+        Requests that are held for another state go to the backend server.
+        """
+        self._requests.release(self._request_room(now_ms), now_ms)
         state = self.state(now_ms)
         if state == self._state:
             return
@@ -449,10 +442,13 @@
             self._add_flow(received.flow, flow, now_ms)
             self.counters["flows_relearned"] += 1
         self.flows.touch(received.flow, flow, now_ms)
-        if received.payload_bytes and flow.request_ms is not None:
+        if received.payload_bytes and self._requests.is_answered_by(
+            flow, received
+        ):
             self._on_response(flow, now_ms)
         if received.is_fin or received.is_reset:
-            self._mark_ended(received.flow, flow, now_ms)
+            self._requests.on_server_ended(flow, now_ms)
+            self.flows.move(received.flow, flow, _Phase.ENDED)
         self._actions.append(actions.SendCaller(received))
 
     def _confirm_probed(
@@ -530,7 +526,7 @@
         balancer = flow.balancer
         phase = flow.phase
         if is_probe:
-            self._finish_request(flow, now_ms)
+            self._requests.finish(flow, now_ms)
             self.flows.move(key, flow, _Phase.RETURNED)
             self.flows.touch(key, flow, now_ms)
         else:
@@ -654,6 +650,7 @@
 
     def _active_and_expected_requests(self, now_ms: int) -> int:
         """Returns the number of requests in progress or about to arrive."""
+        self._requests.expire(now_ms)
         return self._active_requests + self.flows.expected_requests(now_ms)
 
     @property
@@ -821,14 +818,30 @@
             if received.only_acknowledges:
                 flow.caller_ack = deliver.data
         self.flows.touch(key, flow, now_ms)
-        if received.payload_bytes and flow.request_ms is None:
-            self._start_request(flow, now_ms)
+        self._requests.on_caller_packet(
+            flow,
+            received,
+            self._terms_of(key),
+            room=self._request_room(now_ms),
+            now_ms=now_ms,
+        )
         if received.is_reset:
-            self._mark_ended(key, flow, now_ms)
-        elif received.is_fin:
-            # The caller no longer waits for an answer.
-            self._finish_request(flow, now_ms)
-        self._actions.append(actions.SendBackend(deliver.data))
+            self.flows.move(key, flow, _Phase.ENDED)
+
+    def _request_room(self, now_ms: int) -> float:
+        """Returns how many requests the backend server may have at once.
+
+        Nothing is held back if it or the agent is about to leave.
+        """
+        if (
+            self.load_settings.queues_requests
+            and self.state(now_ms) == agents.READY
+        ):
+            return self._slots + requests.EXTRA_REQUESTS
+        return requests.UNLIMITED
+
+    def _send_backend(self, data: bytes) -> None:
+        self._actions.append(actions.SendBackend(data))
 
     def _is_confirmed_by_caller(
         self,
@@ -919,52 +932,28 @@
 
     # Load.
 
-    def _update_average_active_requests(self, now_ms: int) -> None:
-        elapsed_ms = now_ms - self._average_updated_ms
-        if elapsed_ms > 0:
-            weight = min(elapsed_ms / ACTIVE_REQUESTS_AVERAGE_MS, 1.0)
-            self._average_active_requests += weight * (
-                self._active_requests - self._average_active_requests
-            )
-            self._average_updated_ms = now_ms
+    @property
+    def _active_requests(self) -> int:
+        """Number of requests at the backend server or held for it."""
+        return self._requests.unanswered
 
     def _add_flow(
         self, key: packet.FlowKey, flow: flow_table.Flow, now_ms: int
     ) -> None:
         for removed in self.flows.add(key, flow):
-            self._finish_request(removed, now_ms)
+            self._requests.finish(removed, now_ms)
 
     def _remove_flow(self, key: packet.FlowKey, now_ms: int) -> None:
         """Removes a flow together with its request in progress."""
         removed = self.flows.remove(key)
         if removed is not None:
-            self._finish_request(removed, now_ms)
-
-    def _start_request(self, flow: flow_table.Flow, now_ms: int) -> None:
-        self._update_average_active_requests(now_ms)
-        flow.request_ms = now_ms
-        self._active_requests += 1
-
-    def _finish_request(self, flow: flow_table.Flow, now_ms: int) -> None:
-        if flow.request_ms is not None:
-            self._update_average_active_requests(now_ms)
-            flow.request_ms = None
-            self._active_requests -= 1
+            self._requests.finish(removed, now_ms)
 
     def _on_response(self, flow: flow_table.Flow, now_ms: int) -> None:
-        assert flow.request_ms is not None
-        took_ms = now_ms - flow.request_ms
-        self._finish_request(flow, now_ms)
+        self.samples.add("response", self._requests.answered(flow, now_ms))
+        self._requests.release(self._request_room(now_ms), now_ms)
         if self.flows.has_opening:
             self._forward_held_opens(now_ms)
-        self.samples.add("response", took_ms)
-        self._response_ms += RESPONSE_SMOOTHING * (took_ms - self._response_ms)
-
-    def _mark_ended(
-        self, key: packet.FlowKey, flow: flow_table.Flow, now_ms: int
-    ) -> None:
-        self._finish_request(flow, now_ms)
-        self.flows.move(key, flow, _Phase.ENDED)
 
     # Balancers.
 
@@ -1084,7 +1073,6 @@
 
     def heartbeat(self, now_ms: int) -> messages.Heartbeat:
         """Returns a heartbeat with the next number and the current state."""
-        self._update_average_active_requests(now_ms)
         self._heartbeat_number += 1
         return messages.Heartbeat(
             name=self.identity.name,
@@ -1097,10 +1085,11 @@
             state=self.state(now_ms),
             slots=self._slots,
             flows=self.flows.open_flows,
-            busy=round(self._average_active_requests, 2),
-            response_ms=round(self._response_ms, 1),
+            busy=round(self._requests.average(now_ms), 2),
+            response_ms=round(self._requests.response_ms, 1),
             cold_ms=self.backend.cold_ms(now_ms),
             has_full_table=self._has_full_table,
+            waiting=self._requests.waiting,
         )
 
     # Timers.
@@ -1127,15 +1116,11 @@
 
     def sweep(self, now_ms: int) -> None:
         """Removes expired state; to be called every ``SWEEP_MS``."""
-        for _, flow in self.flows:
-            request_ms = flow.request_ms
-            if request_ms is not None and now_ms - request_ms > MAX_REQUEST_MS:
-                self._finish_request(flow, now_ms)
-                self.counters["requests_without_answer"] += 1
+        self._requests.expire(now_ms)
         for _, flow in self.flows.sweep(
             now_ms, idle_timeout_ms=self._idle_timeout_ms
         ):
-            self._finish_request(flow, now_ms)
+            self._requests.finish(flow, now_ms)
         self._complete_table(now_ms)
         self._announce_state_change(now_ms)
 
