Admit openings by priority and deadline of their route

Cause: held openings were let in newest first whatever their route, for 600 ms each, and a caller that could not be served heard it after that time: too late for another try on routes whose callers give up after 0.8 to 1 s.

Change, with `admits_by_priority`: priority first, then what can still be in time, by its deadline; one in four goes to a less urgent priority that waits. An opening is held for a third of its route's timeout (callers make up to three tries). One whose expected wait (openings and requests before it, times the measured work, by slots) is longer is refused on arrival; those held are given up early only when it is certain, two in a decision, so that a stall sends no wave of callers back. The rate of a cold server belongs to the openings together: the most urgent one takes the next turn. Refusals say after which time a try would be held. What an agent passes on when it leaves is offered to the others by load. Heartbeats carry the number of held openings.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -115,7 +115,10 @@
         self.counters: collections.Counter[str] = collections.Counter()
         self.samples = samples.Samples("backend_accept", "response")
         self._admission = admission.Admission(
-            admission.NewestFirst(), self.counters
+            admission.ByPriority()
+            if load.admits_by_priority
+            else admission.NewestFirst(),
+            self.counters,
         )
         self._report_interval_ms = report_interval_ms
         self._started_unix_ms = started_unix_ms
@@ -570,9 +573,20 @@
         if self._pass_on_if_busy(key, offer, now_ms):
             return
         wait_ms = self.backend.reserve_open(now_ms)
-        if wait_ms > self._admission.hold_ms(offer.terms):
+        arrived = admission.Held(
+            key, now_ms, now_ms + wait_ms, self._terms_of(key)
+        )
+        refusal = self._admission.on_arrival(
+            arrived, self._held_openings(), self._room(now_ms), now_ms
+        )
+        if refusal is not None:
             self.backend.cancel_reservation()
-            self._pass_on_or_refuse(key, offer, "cold", wait_ms)
+            if refusal.reason != "cold":
+                # The other candidates have as much to do.
+                offer = offer._replace(others=())
+            self._pass_on_or_refuse(
+                key, offer, refusal.reason, refusal.retry_after_ms
+            )
             return
         self.counters["opens"] += 1
         flow = flow_table.Flow(
@@ -609,7 +623,9 @@
         self, key: packet.FlowKey, offer: messages.Open, now_ms: int
     ) -> bool:
         """Returns whether an opening has been passed on for lack of a slot."""
-        load = self._room(now_ms).load
+        load = self._admission.load(
+            self._terms_of(key), self._held_openings(), self._room(now_ms)
+        )
         onward = admission.pass_on_if_busy(
             offer, own=self.identity.address, load=load
         )
@@ -631,8 +647,26 @@
         return admission.Room(
             self._slots,
             self._active_requests + self.flows.expected_requests(now_ms),
+            self._work_ms,
         )
 
+    @property
+    def _work_ms(self) -> float:
+        """Estimated time that the backend server works on a request.
+
+        With more requests than slots, the average response time includes
+        waits in the server's queue.
+        """
+        excess = self._average_active_requests / max(self._slots, 1)
+        return self._response_ms / max(excess, 1.0)
+
+    def _held_openings(self) -> list[admission.Held]:
+        """Returns the held openings, oldest first."""
+        return [
+            admission.Held(key, flow.held_ms, flow.sent_ms, self._terms_of(key))
+            for key, flow in self.flows.held()
+        ]
+
     @property
     def _slots(self) -> int:
         report = self.backend.report
@@ -645,33 +679,34 @@
         wait_ms: int,
         now_ms: int,
     ) -> None:
+        terms_of_route = self._terms_of(key)
+        hold_ms = self._admission.hold_ms(terms_of_route)
         self.counters["opens_held"] += 1
         self._log(
             "open_held",
             flow=str(key),
             wait_ms=wait_ms,
+            hold_ms=hold_ms,
+            priority=terms_of_route.priority,
             busy=self._active_requests,
             opening=self.flows.expected_requests(now_ms),
             cold_ms=self.backend.cold_ms(now_ms),
             cold_opens_per_s=self.backend.cold_opens_per_s,
         )
-        hold_ms = self._admission.hold_ms(self._terms_of(key))
         held = messages.Held(key, self.identity.address, hold_ms)
         self._send(flow.balancer, held)
 
     def _forward_held_opens(self, now_ms: int) -> None:
         """Carries out what has been decided on the held openings."""
-        flows = dict(self.flows.held())
-        held = [
-            admission.Held(key, flow.held_ms, flow.sent_ms, self._terms_of(key))
-            for key, flow in flows.items()
-        ]
-        room = self._room(now_ms)
+        held, room = self._held_openings(), self._room(now_ms)
         for decision in self._admission.decide(held, room, now_ms):
-            flow = flows[decision.flow]
+            flow = self.flows.get(decision.flow)
+            assert flow is not None
             match decision:
                 case admission.Admit(key):
                     self._forward_open(key, flow, now_ms)
+                case admission.Postpone(_, ready_ms):
+                    flow.sent_ms = ready_ms
                 case admission.Refuse(key, reason, retry_after_ms):
                     # If another agent held it again, its caller would give up
                     # first.
@@ -726,6 +761,7 @@
             reason=reason,
             others=len(offer.others),
             flows=self.flows.open_flows,
+            retry_after_ms=wait_ms,
         )
         onward = admission.pass_on(offer)
         if onward is not None:
@@ -750,6 +786,9 @@
             flow.others,
             False,
             flow.opening_data,
+            unoffered=(
+                len(flow.others) if self.load_settings.admits_by_priority else 0
+            ),
             terms=self._terms_of(key),
         )
         self._pass_on_or_refuse(key, offer, reason, retry_after_ms)
@@ -1074,6 +1113,7 @@
             response_ms=round(self._response_ms, 1),
             cold_ms=self.backend.cold_ms(now_ms),
             has_full_table=self._has_full_table,
+            waiting=len(self.flows.held()),
         )
 
     # Timers.
