See a shortage of a service at balancers, and refuse what agents would

Cause: each agent knows only its own load. In a shortage of a whole service an opening visited up to four full agents before one of them held or refused it.

Change, with `admits_by_priority`: core/l4/shortage.py averages what waits at the watched agents of a service, from heartbeats as they come. In a shortage a balancer offers openings to the two candidates with the least waiting, and refuses an evenly spread share at once, per priority, least urgent first. The share follows what agents refuse of the rest: it rises only while they refuse more than half of it, and ends when openings no longer wait or when less than half of the heartbeats are fresh. One in ten always passes.

--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -24,6 +24,7 @@
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
 from sapphirelift.core.l4 import sentinels
+from sapphirelift.core.l4 import shortage
 from sapphirelift.core.l4 import terms as terms_module
 from sapphirelift.core.l4 import watch as watch_module
 from sapphirelift.core.membership import freshness
@@ -263,6 +264,9 @@
         self._openings: dict[packet.FlowKey, _Opening] = {}
         self._lookups = lookup.Lookups(self.counters)
         self._resolver = resolver.Resolver(self.counters)
+        self._shortages = shortage.Shortages(
+            self.counters, self._log, is_used=load.admits_by_priority
+        )
         self._silent_resolvers: dict[messages.Address, int] = {}
         self._removed_routes: dict[routes.RouteKey, int] = {}
         self._newer_replica: _NewerReplica | None = None
@@ -466,6 +470,9 @@
         if route is None:
             self._refuse_unrouted(received, now_ms)
             return
+        if self._shortages.refuses(flow, route, self._watched_of, now_ms):
+            self._reset(received)
+            return
         service = route.service_for(flow)
         found = placement.eligible(
             self.agents,
@@ -478,6 +485,7 @@
         ranked = placement.rank(
             flow, watched or found, data_centre=self._data_centre
         )
+        ranked = self._shortages.shorten(service, ranked)
         if not ranked:
             if self._is_settling(now_ms):
                 self.counters["opens_dropped_settling"] += 1
@@ -525,6 +533,14 @@
         )
         self._send_open(opening)
 
+    def _watched_of(self, service: str) -> list[agents.KnownAgent]:
+        """Returns the watched agents of a service."""
+        return [
+            agent
+            for agent in self.agents.of_services([service])
+            if self.watch.includes(agent.address)
+        ]
+
     def _is_settling(self, now_ms: int) -> bool:
         """Returns whether agents may live that count as silent here."""
         boot_ms = self._freshness.last_observed_ms
@@ -1024,6 +1040,10 @@
         if opening is None and not self._forget_refusing_owner(refused):
             return
         self.counters[f"opens_refused_{refused.reason}"] += 1
+        if opening is not None:
+            self._shortages.on_refused(
+                opening.service, opening.terms.priority, refused.reason
+            )
         self._log(
             "open_refused",
             flow=str(refused.flow),
