--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -15,6 +15,7 @@
 from sapphirelift.core.l4 import departure
 from sapphirelift.core.l4 import flow_table
 from sapphirelift.core.l4 import heartbeats
+from sapphirelift.core.l4 import known_terms
 from sapphirelift.core.l4 import load_settings
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import ownership
@@ -50,8 +51,6 @@
 EXTRA_REPORTS = 4
 # Interval between two calls of ``sweep``.
 SWEEP_MS = 1000
-# Routes whose terms are remembered; a configuration has up to 1,400.
-MAX_ROUTES = 4096
 # Flows of which the backend server is asked in one tick. A socket's default
 # buffer holds about 270 small packets.
 QUESTIONS_PER_TICK = 64
@@ -129,6 +128,7 @@
         self._is_leaving = False
         # Names its own data centre at most.
         self._evacuations = routes.Evacuations()
+        self._known_terms = known_terms.KnownTerms()
         # Version and revision; the other values are kept where they are used.
         self._configuration = routes.Configuration()
         self._max_flows = 0
@@ -136,8 +136,6 @@
         self._heartbeat_number = 0
         # Open flows of which the backend server has yet to show that it has
         # them.
-        # Terms of the routes for which flows have been offered.
-        self._terms: dict[routes.RouteKey, terms.Terms] = {}
         self._questioned: collections.deque[packet.FlowKey] = (
             collections.deque()
         )
@@ -558,7 +556,7 @@
     ) -> None:
         """Handles an opening packet."""
         key = received.flow
-        self._note_terms(key, offer.terms)
+        self._known_terms.note(key, offer.terms)
         flow = self.flows.get(key)
         if flow is not None and flow.is_opened_by(received, now_ms):
             flow.balancer = offer.balancer
@@ -605,19 +603,9 @@
         else:
             self._forward_open(key, flow, now_ms)
 
-    def _note_terms(self, key: packet.FlowKey, noted: terms.Terms) -> None:
-        """Remembers the terms of a route, for requests on its flows."""
-        if noted == terms.Terms():
-            # Passed on by an agent, or sent by an earlier release.
-            return
-        route = routes.RouteKey(key.route_ip, key.route_port)
-        if route in self._terms or len(self._terms) < MAX_ROUTES:
-            self._terms[route] = noted
-
     def _terms_of(self, key: packet.FlowKey) -> terms.Terms:
         """Returns the terms of a flow's route, as far as they are known."""
-        route = routes.RouteKey(key.route_ip, key.route_port)
-        return self._terms.get(route, terms.Terms())
+        return self._known_terms.of(key)
 
     def _pass_on_if_busy(
         self, key: packet.FlowKey, offer: messages.Open, now_ms: int
@@ -1090,7 +1078,7 @@
         )
         self.balancers.on_sent(address, now_ms)
         if self.balancers.is_introduced(address):
-            self._send(address, _pulse(heartbeat))
+            self._send(address, heartbeat.pulse())
         else:
             self._send(address, heartbeat)
 
@@ -1201,21 +1189,3 @@
 
     def _log(self, event: str, **fields: object) -> None:
         self._actions.append(actions.Log(event, fields))
-
-
-def _pulse(heartbeat: messages.Heartbeat) -> messages.Pulse:
-    """Returns the changing part of a heartbeat."""
-    return messages.Pulse(
-        incarnation=heartbeat.incarnation,
-        number=heartbeat.number,
-        state=heartbeat.state,
-        slots=heartbeat.slots,
-        flows=heartbeat.flows,
-        busy_percent=round(heartbeat.busy * 100),
-        response_ms=round(heartbeat.response_ms),
-        cold_ms=heartbeat.cold_ms,
-        has_full_table=heartbeat.has_full_table,
-        unheard_ms=heartbeat.unheard_ms,
-        waiting=heartbeat.waiting,
-        work_ms=heartbeat.work_ms,
-    )
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -265,7 +265,7 @@
         self._lookups = lookup.Lookups(self.counters)
         self._resolver = resolver.Resolver(self.counters)
         self._shortages = shortage.Shortages(
-            self.counters, self._log, is_used=load.admits_by_priority
+            self.agents, self.watch, self.counters, self._log, load
         )
         self._silent_resolvers: dict[messages.Address, int] = {}
         self._removed_routes: dict[routes.RouteKey, int] = {}
@@ -470,7 +470,7 @@
         if route is None:
             self._refuse_unrouted(received, now_ms)
             return
-        if self._shortages.refuses(flow, route, self._watched_of, now_ms):
+        if self._shortages.refuses(flow, route, now_ms):
             self._reset(received)
             return
         service = route.service_for(flow)
@@ -533,14 +533,6 @@
         )
         self._send_open(opening)
 
-    def _watched_of(self, service: str) -> list[agents.KnownAgent]:
-        """Returns the watched agents of a service."""
-        return [
-            agent
-            for agent in self.agents.of_services([service])
-            if self.watch.includes(agent.address)
-        ]
-
     def _is_settling(self, now_ms: int) -> bool:
         """Returns whether agents may live that count as silent here."""
         boot_ms = self._freshness.last_observed_ms
@@ -1160,22 +1152,7 @@
             if sender not in self._departed_agents:
                 self._send_hello(sender)
             return
-        self._on_heartbeat(
-            known.heartbeat._replace(
-                number=pulse.number,
-                state=pulse.state,
-                slots=pulse.slots,
-                flows=pulse.flows,
-                busy=pulse.busy_percent / 100,
-                response_ms=float(pulse.response_ms),
-                cold_ms=pulse.cold_ms,
-                has_full_table=pulse.has_full_table,
-                unheard_ms=pulse.unheard_ms,
-                waiting=pulse.waiting,
-                work_ms=pulse.work_ms,
-            ),
-            now_ms,
-        )
+        self._on_heartbeat(known.heartbeat.updated(pulse), now_ms)
 
     def _on_gone(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
         """Removes an agent that stops together with its backend server."""
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -263,6 +263,39 @@
     waiting: int = 0
     work_ms: float = 0.0
 
+    def pulse(self) -> "Pulse":
+        """Returns the changing part."""
+        return Pulse(
+            incarnation=self.incarnation,
+            number=self.number,
+            state=self.state,
+            slots=self.slots,
+            flows=self.flows,
+            busy_percent=round(self.busy * 100),
+            response_ms=round(self.response_ms),
+            cold_ms=self.cold_ms,
+            has_full_table=self.has_full_table,
+            unheard_ms=self.unheard_ms,
+            waiting=self.waiting,
+            work_ms=self.work_ms,
+        )
+
+    def updated(self, pulse: "Pulse") -> "Heartbeat":
+        """Returns the heartbeat with a newer changing part."""
+        return self._replace(
+            number=pulse.number,
+            state=pulse.state,
+            slots=pulse.slots,
+            flows=pulse.flows,
+            busy=pulse.busy_percent / 100,
+            response_ms=float(pulse.response_ms),
+            cold_ms=pulse.cold_ms,
+            has_full_table=pulse.has_full_table,
+            unheard_ms=pulse.unheard_ms,
+            waiting=pulse.waiting,
+            work_ms=pulse.work_ms,
+        )
+
 
 class Pulse(NamedTuple):
     """Changing part of a heartbeat, for balancers that know the rest.
--- a/sapphirelift/core/l4/shortage.py
+++ b/sapphirelift/core/l4/shortage.py
@@ -11,8 +11,10 @@
 from collections.abc import Callable
 
 from sapphirelift.core.l4 import agents as agents_module
+from sapphirelift.core.l4 import load_settings
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import routes
+from sapphirelift.core.l4 import watch as watch_module
 
 # Waiting openings and requests per slot, over all watched agents. At the first
 # value, a new flow waits for a whole request everywhere; at the second one, for
@@ -197,43 +199,40 @@
     """Shortages of all services."""
 
     def __init__(
-        self, counters: collections.Counter[str], log: Log, *, is_used: bool
+        self,
+        agents: agents_module.Agents,
+        watch: watch_module.Watch,
+        counters: collections.Counter[str],
+        log: Log,
+        load: load_settings.LoadSettings,
     ) -> None:
         """Creates the view of a balancer that knows of no shortage.
 
         Args:
+            agents: Agents known to the balancer.
+            watch: Which of them it hears often.
             counters: Where refusals are counted.
             log: Writes a log line.
-            is_used: Whether the deployment asks for it.
+            load: Decisions under load that the deployment asks for.
         """
+        self._agents = agents
+        self._watch = watch
         self._counters = counters
         self._log = log
-        self._is_used = is_used
+        self._is_used = load.admits_by_priority
         self._by_service: dict[str, Shortage] = {}
 
     def refuses(
-        self,
-        flow: packet.FlowKey,
-        route: routes.Route,
-        watched: Callable[[str], list[agents_module.KnownAgent]],
-        now_ms: int,
+        self, flow: packet.FlowKey, route: routes.Route, now_ms: int
     ) -> bool:
-        """Returns whether to refuse an opening at once.
-
-        Args:
-            flow: The flow to be opened.
-            route: Its route.
-            watched: Returns the agents of a service from which the balancer
-                hears often.
-            now_ms: Current time.
-        """
+        """Returns whether to refuse an opening of a route at once."""
         if not self._is_used:
             return False
         service = route.service_for(flow)
         shortage = self._of(service)
         if shortage.is_due(now_ms):
             was_on = shortage.is_on
-            shortage.update(watched(service), now_ms)
+            shortage.update(self._watched(service), now_ms)
             if shortage.is_on != was_on:
                 self._log_change(service, shortage, now_ms)
         if not shortage.refuses(route.terms.priority):
@@ -241,6 +240,13 @@
         self._counters["opens_refused_shortage"] += 1
         return True
 
+    def _watched(self, service: str) -> list[agents_module.KnownAgent]:
+        return [
+            agent
+            for agent in self._agents.of_services([service])
+            if self._watch.includes(agent.address)
+        ]
+
     def _log_change(
         self, service: str, shortage: Shortage, now_ms: int
     ) -> None:
--- a/tests/test_l4_shortage.py
+++ b/tests/test_l4_shortage.py
@@ -10,6 +10,7 @@
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import shortage
 from sapphirelift.core.l4 import terms
+from sapphirelift.core.l4 import watch
 from sapphirelift.standins import flow_ends
 from sapphirelift.standins import packet_network
 
@@ -321,14 +322,17 @@
     def test_number_is_bounded(self) -> None:
         """Services come and go with configurations."""
         log: list[str] = []
+        own = messages.Address("10.1.0.1", 7720)
         shortages = shortage.Shortages(
+            agents.Agents(),
+            watch.Watch(own=own, data_centre=""),
             collections.Counter(),
             lambda event, **_: log.append(event),
-            is_used=True,
+            load_settings.LoadSettings(admits_by_priority=True),
         )
         flow = packet.FlowKey(1, 2, 3, 4)
         for number in range(shortage.MAX_SERVICES + 5):
             route = routes.Route("r", (routes.Share(f"s{number}", 1.0),))
-            assert not shortages.refuses(flow, route, lambda _: [], NOW_MS)
+            assert not shortages.refuses(flow, route, NOW_MS)
         assert len(shortages._by_service) <= shortage.MAX_SERVICES
         assert log == []
