Never refuse a copy of an opening packet for a shortage

Cause: a copy that comes to another balancer than the first one may belong to a flow that has opened meanwhile; the reset would reach an open flow.

Change: a balancer refuses first opening packets only, and none from a port of whose former flow it knows the owner.

--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -470,7 +470,7 @@
         if route is None:
             self._refuse_unrouted(received, now_ms)
             return
-        if self._shortages.refuses(flow, route, now_ms):
+        if former is None and self._shortages.refuses(received, route, now_ms):
             self._reset(received)
             return
         service = route.service_for(flow)
--- a/sapphirelift/core/l4/packet.py
+++ b/sapphirelift/core/l4/packet.py
@@ -43,7 +43,8 @@
         is_reset: Whether it ends the flow immediately.
         is_bounced: Whether a backend server has returned it unprocessed.
         sequence: Sequence number of its first byte.
-        acknowledged: Next sequence number expected from the peer.
+        acknowledged: Next sequence number expected from the peer; of an
+            opening packet, the number of copies sent before.
         payload_bytes: Length of the payload.
         raw: The datagram.
     """
@@ -68,6 +69,11 @@
             and not (self.is_syn or self.is_fin or self.is_reset)
         )
 
+    @property
+    def is_first_opening(self) -> bool:
+        """Whether it opens a flow, and no copy has been sent before it."""
+        return self.is_syn and not (self.is_ack or self.acknowledged)
+
     def repeats_opening(self, sequence: int | None, age_ms: int) -> bool:
         """Returns whether this opening packet is a copy of an earlier one.
 
--- a/sapphirelift/core/l4/shortage.py
+++ b/sapphirelift/core/l4/shortage.py
@@ -223,12 +223,16 @@
         self._by_service: dict[str, Shortage] = {}
 
     def refuses(
-        self, flow: packet.FlowKey, route: routes.Route, now_ms: int
+        self, received: packet.Packet, route: routes.Route, now_ms: int
     ) -> bool:
-        """Returns whether to refuse an opening of a route at once."""
-        if not self._is_used:
+        """Returns whether to refuse an opening at once.
+
+        A copy of an opening packet may belong to a flow that has opened
+        through another balancer, and is never refused here.
+        """
+        if not self._is_used or not received.is_first_opening:
             return False
-        service = route.service_for(flow)
+        service = route.service_for(received.flow)
         shortage = self._of(service)
         if shortage.is_due(now_ms):
             was_on = shortage.is_on
--- a/tests/test_l4_shortage.py
+++ b/tests/test_l4_shortage.py
@@ -11,6 +11,7 @@
 from sapphirelift.core.l4 import shortage
 from sapphirelift.core.l4 import terms
 from sapphirelift.core.l4 import watch
+from sapphirelift.platform import packets
 from sapphirelift.standins import flow_ends
 from sapphirelift.standins import packet_network
 
@@ -316,6 +317,41 @@
         assert not net.logged("shortage_begun")
 
 
+def opening(port: int, *, copies: int = 0) -> packet.Packet:
+    """Returns an opening packet, sent after so many copies of it."""
+    flow = packet.FlowKey(1, port, 3, 4)
+    data = flow_ends.from_caller(
+        flow, flow_ends.SYN, sequence=port, acknowledged=copies
+    )
+    return packets.decode_from_caller(data)
+
+
+class TestCopies:
+    """Copies of opening packets that come to another balancer."""
+
+    def test_copy_is_not_refused(self) -> None:
+        """A reset could reach a flow that has opened through the first one."""
+        own = messages.Address("10.1.0.1", 7720)
+        shortages = shortage.Shortages(
+            agents.Agents(),
+            watch.Watch(own=own, data_centre=""),
+            collections.Counter(),
+            lambda event, **_: None,
+            load_settings.LoadSettings(admits_by_priority=True),
+        )
+        view = View()
+        view.run_short()
+        shortages._by_service["s"] = view.shortage
+        route = routes.Route("r", (routes.Share("s", 1.0),), terms=COMMON)
+        answers = [
+            shortages.refuses(opening(port, copies=copies), route, view.now_ms)
+            for port in range(20)
+            for copies in (0, 1, 2)
+        ]
+        assert any(answers[::3])
+        assert not any(answers[1::3]) and not any(answers[2::3])
+
+
 class TestServices:
     """The view over many services."""
 
@@ -330,9 +366,8 @@
             lambda event, **_: log.append(event),
             load_settings.LoadSettings(admits_by_priority=True),
         )
-        flow = packet.FlowKey(1, 2, 3, 4)
         for number in range(shortage.MAX_SERVICES + 5):
             route = routes.Route("r", (routes.Share(f"s{number}", 1.0),))
-            assert not shortages.refuses(flow, route, NOW_MS)
+            assert not shortages.refuses(opening(1), route, NOW_MS)
         assert len(shortages._by_service) <= shortage.MAX_SERVICES
         assert log == []
