--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -9,11 +9,13 @@
 
 from sapphirelift.core import revisions
 from sapphirelift.core.l4 import actions
+from sapphirelift.core.l4 import admission
 from sapphirelift.core.l4 import agents
 from sapphirelift.core.l4 import backend as backend_module
 from sapphirelift.core.l4 import departure
 from sapphirelift.core.l4 import flow_table
 from sapphirelift.core.l4 import heartbeats
+from sapphirelift.core.l4 import known_terms
 from sapphirelift.core.l4 import load_settings
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import ownership
@@ -35,13 +37,6 @@
 # counts as unresponsive for ``UNRESPONSIVE_MS``.
 UNANSWERED_OPENS = 2
 UNRESPONSIVE_MS = 500
-# Maximum time an opening packet is held: half of the shortest request deadline
-# (1.2 s), so that a caller refused after it has time to try again.
-MAX_HOLD_MS = 600
-# A backend server queues requests beyond its slots. With twice as many requests
-# as slots, the last one completes after twice the time of one request. This
-# meets the latency objective (five times that time) on a cold server too.
-EXTRA_OPENS_PER_SLOT = 1.0
 # The supervisor of an instance starts the processes of the agent and of its
 # backend server within this time. A backend server that started earlier may
 # have flows opened through an earlier incarnation of the agent.
@@ -51,8 +46,6 @@
 EXTRA_REPORTS = 4
 # Interval between two calls of ``sweep``.
 SWEEP_MS = 1000
-# Routes whose terms are remembered; a configuration has up to 1,400.
-MAX_ROUTES = 4096
 
 
 class Identity(NamedTuple):
@@ -114,6 +107,12 @@
         self.samples = samples.Samples(
             "backend_accept", "response", "request_wait"
         )
+        self._admission = admission.Admission(
+            admission.ByPriority()
+            if load.admits_by_priority
+            else admission.NewestFirst(),
+            self.counters,
+        )
         self._report_interval_ms = report_interval_ms
         self._started_unix_ms = started_unix_ms
         self._started_ms = now_ms
@@ -123,13 +122,12 @@
         self._is_leaving = False
         # Names its own data centre at most.
         self._evacuations = routes.Evacuations()
+        self._known_terms = known_terms.KnownTerms()
         # Version and revision; the other values are kept where they are used.
         self._configuration = routes.Configuration()
         self._max_flows = 0
         self._idle_timeout_ms = 15_000
         self._heartbeat_number = 0
-        # Terms of the routes for which flows have been offered.
-        self._terms: dict[routes.RouteKey, terms.Terms] = {}
         self._questions = questions.Questions(self.flows)
         self._unanswered_opens = 0
         self._unresponsive_until_ms = 0
@@ -554,7 +552,7 @@
     ) -> None:
         """Handles an opening packet."""
         key = received.flow
-        self._note_terms(key, offer.terms)
+        self._known_terms.note(key, offer.terms)
         flow = self.flows.get(key)
         if flow is not None and flow.is_opened_by(received, now_ms):
             flow.balancer = offer.balancer
@@ -569,9 +567,20 @@
         if self._pass_on_if_busy(key, offer, now_ms):
             return
         wait_ms = self.backend.reserve_open(now_ms)
-        if wait_ms > MAX_HOLD_MS:
+        arrived = admission.Held(
+            key, now_ms, now_ms + wait_ms, self._terms_of(key)
+        )
+        refusal = self._admission.on_arrival(
+            arrived, self._held_openings(), self._room(now_ms), now_ms
+        )
+        if refusal is not None:
             self.backend.cancel_reservation()
-            self._pass_on_or_refuse(key, offer, "cold", wait_ms)
+            if refusal.reason != "cold":
+                # The other candidates have as much to do.
+                offer = offer._replace(others=())
+            self._pass_on_or_refuse(
+                key, offer, refusal.reason, refusal.retry_after_ms
+            )
             return
         self.counters["opens"] += 1
         flow = flow_table.Flow(
@@ -585,54 +594,27 @@
             held_ms=now_ms,
         )
         self._add_flow(key, flow, now_ms)
-        if wait_ms or not self._has_capacity(now_ms):
+        if wait_ms or self._room(now_ms).free <= 0:
             self._send_held(key, flow, wait_ms, now_ms)
         else:
             self._forward_open(key, flow, now_ms)
 
-    def _note_terms(self, key: packet.FlowKey, noted: terms.Terms) -> None:
-        """Remembers the terms of a route, for requests on its flows."""
-        if noted == terms.Terms():
-            # Passed on by an agent, or sent by an earlier release.
-            return
-        route = routes.RouteKey(key.route_ip, key.route_port)
-        if route in self._terms or len(self._terms) < MAX_ROUTES:
-            self._terms[route] = noted
-
     def _terms_of(self, key: packet.FlowKey) -> terms.Terms:
         """Returns the terms of a flow's route, as far as they are known."""
-        route = routes.RouteKey(key.route_ip, key.route_port)
-        return self._terms.get(route, terms.Terms())
+        return self._known_terms.of(key)
 
     def _pass_on_if_busy(
         self, key: packet.FlowKey, offer: messages.Open, now_ms: int
     ) -> bool:
-        """Passes an opening on if the flow would have to wait for a slot.
-
-        Balancers have slightly outdated loads, whereas an agent knows its own
-        exactly. Once all candidates have been offered the flow, the least
-        busy one takes it.
-
-        Returns:
-            Whether the opening has been passed on.
-        """
-        load = self._load(now_ms)
-        address = self.identity.address
-        is_settled = not offer.unoffered and offer.least_busy is None
-        if load < 1.0 or is_settled:
-            return False
-        if offer.least_busy is None or load < offer.least_load:
-            offer = offer._replace(least_busy=address, least_load=load)
-        unoffered = offer.unoffered
-        if unoffered:
-            next_agent = offer.others[0]
-            offer = offer._replace(unoffered=unoffered - 1)
-        elif offer.least_busy == address or offer.least_busy is None:
+        """Returns whether an opening has been passed on for lack of a slot."""
+        load = self._admission.load(
+            self._terms_of(key), self._held_openings(), self._room(now_ms)
+        )
+        onward = admission.pass_on_if_busy(
+            offer, own=self.identity.address, load=load
+        )
+        if onward is None:
             return False
-        else:
-            next_agent = offer.least_busy
-            offer = offer._replace(least_busy=None)
-        others = tuple(other for other in offer.others if other != next_agent)
         self.counters["opens_passed_on_busy"] += 1
         self._log(
             "open_passed_on",
@@ -641,17 +623,34 @@
             others=len(offer.others),
             load=round(load, 2),
         )
-        self._send(next_agent, offer._replace(others=(*others, address)))
+        self._send(onward.agent, onward.offer)
         return True
 
-    def _load(self, now_ms: int) -> float:
-        """Returns the active and expected requests per slot."""
-        return self._active_and_expected_requests(now_ms) / max(self._slots, 1)
-
-    def _active_and_expected_requests(self, now_ms: int) -> int:
-        """Returns the number of requests in progress or about to arrive."""
+    def _room(self, now_ms: int) -> admission.Room:
+        """Returns the room at the backend server."""
         self._requests.expire(now_ms)
-        return self._active_requests + self.flows.expected_requests(now_ms)
+        return admission.Room(
+            self._slots,
+            self._active_requests + self.flows.expected_requests(now_ms),
+            self._work_ms,
+        )
+
+    @property
+    def _work_ms(self) -> float:
+        """Estimated time that the backend server works on a request.
+
+        With more requests than slots, the average response time includes
+        waits in the server's queue.
+        """
+        excess = self._requests.last_average / max(self._slots, 1)
+        return self._requests.response_ms / max(excess, 1.0)
+
+    def _held_openings(self) -> list[admission.Held]:
+        """Returns the held openings, oldest first."""
+        return [
+            admission.Held(key, flow.held_ms, flow.sent_ms, self._terms_of(key))
+            for key, flow in self.flows.held()
+        ]
 
     @property
     def _slots(self) -> int:
@@ -665,42 +664,41 @@
         wait_ms: int,
         now_ms: int,
     ) -> None:
+        terms_of_route = self._terms_of(key)
+        hold_ms = self._admission.hold_ms(terms_of_route)
         self.counters["opens_held"] += 1
         self._log(
             "open_held",
             flow=str(key),
             wait_ms=wait_ms,
+            hold_ms=hold_ms,
+            priority=terms_of_route.priority,
             busy=self._active_requests,
             opening=self.flows.expected_requests(now_ms),
             cold_ms=self.backend.cold_ms(now_ms),
             cold_opens_per_s=self.backend.cold_opens_per_s,
         )
-        held = messages.Held(key, self.identity.address, MAX_HOLD_MS)
+        held = messages.Held(key, self.identity.address, hold_ms)
         self._send(flow.balancer, held)
 
-    def _has_capacity(self, now_ms: int) -> bool:
-        """Returns whether the backend server can accept another flow now.
-
-        A new flow sends a request immediately. With more requests than its
-        slots and a few extra, the backend server would shed it.
-        """
-        extra = max(round(self._slots * EXTRA_OPENS_PER_SLOT), 1)
-        return self._active_and_expected_requests(now_ms) < self._slots + extra
-
     def _forward_held_opens(self, now_ms: int) -> None:
-        """Forwards held opening packets, newest first (LIFO).
-
-        Callers of older ones are already late. Serving them first would make
-        the newer ones late as well.
-        """
-        for key, flow in reversed(self.flows.held()):
-            if now_ms - flow.held_ms > MAX_HOLD_MS:
-                # If another agent held it again, its caller would give up
-                # first.
-                flow.others = ()
-                self._abandon_open(key, flow, "overloaded", now_ms)
-            elif now_ms >= flow.sent_ms and self._has_capacity(now_ms):
-                self._forward_open(key, flow, now_ms)
+        """Carries out what has been decided on the held openings."""
+        held, room = self._held_openings(), self._room(now_ms)
+        for decision in self._admission.decide(held, room, now_ms):
+            flow = self.flows.get(decision.flow)
+            assert flow is not None
+            match decision:
+                case admission.Admit(key):
+                    self._forward_open(key, flow, now_ms)
+                case admission.Postpone(_, ready_ms):
+                    flow.sent_ms = ready_ms
+                case admission.Refuse(key, reason, retry_after_ms):
+                    # If another agent held it again, its caller would give up
+                    # first.
+                    flow.others = ()
+                    self._abandon_open(
+                        key, flow, reason, now_ms, retry_after_ms
+                    )
 
     def _forward_open(
         self, key: packet.FlowKey, flow: flow_table.Flow, now_ms: int
@@ -748,13 +746,11 @@
             reason=reason,
             others=len(offer.others),
             flows=self.flows.open_flows,
+            retry_after_ms=wait_ms,
         )
-        if offer.others:
-            onward = offer._replace(
-                others=tuple(offer.others[1:]),
-                unoffered=max(offer.unoffered - 1, 0),
-            )
-            self._send(offer.others[0], onward)
+        onward = admission.pass_on(offer)
+        if onward is not None:
+            self._send(onward.agent, onward.offer)
             return
         refused = messages.Refused(key, self.identity.address, reason, wait_ms)
         self._send(offer.balancer, refused)
@@ -765,6 +761,7 @@
         flow: flow_table.Flow,
         reason: str,
         now_ms: int,
+        retry_after_ms: int = 0,
     ) -> None:
         """Removes an unaccepted flow; passes its opening on or refuses it."""
         self._remove_flow(key, now_ms)
@@ -774,9 +771,12 @@
             flow.others,
             False,
             flow.opening_data,
+            unoffered=(
+                len(flow.others) if self.load_settings.admits_by_priority else 0
+            ),
             terms=self._terms_of(key),
         )
-        self._pass_on_or_refuse(key, offer, reason, 0)
+        self._pass_on_or_refuse(key, offer, reason, retry_after_ms)
 
     def on_deliver(
         self,
@@ -1067,7 +1067,7 @@
         )
         self.balancers.on_sent(address, now_ms)
         if self.balancers.is_introduced(address):
-            self._send(address, _pulse(heartbeat))
+            self._send(address, heartbeat.pulse())
         else:
             self._send(address, heartbeat)
 
@@ -1089,7 +1089,7 @@
             response_ms=round(self._requests.response_ms, 1),
             cold_ms=self.backend.cold_ms(now_ms),
             has_full_table=self._has_full_table,
-            waiting=self._requests.waiting,
+            waiting=self._requests.waiting + len(self.flows.held()),
         )
 
     # Timers.
@@ -1173,21 +1173,3 @@
 
     def _log(self, event: str, **fields: object) -> None:
         self._actions.append(actions.Log(event, fields))
-
-
-def _pulse(heartbeat: messages.Heartbeat) -> messages.Pulse:
-    """Returns the changing part of a heartbeat."""
-    return messages.Pulse(
-        incarnation=heartbeat.incarnation,
-        number=heartbeat.number,
-        state=heartbeat.state,
-        slots=heartbeat.slots,
-        flows=heartbeat.flows,
-        busy_percent=round(heartbeat.busy * 100),
-        response_ms=round(heartbeat.response_ms),
-        cold_ms=heartbeat.cold_ms,
-        has_full_table=heartbeat.has_full_table,
-        unheard_ms=heartbeat.unheard_ms,
-        waiting=heartbeat.waiting,
-        work_ms=heartbeat.work_ms,
-    )
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -24,6 +24,7 @@
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
 from sapphirelift.core.l4 import sentinels
+from sapphirelift.core.l4 import shortage
 from sapphirelift.core.l4 import terms as terms_module
 from sapphirelift.core.l4 import unproven
 from sapphirelift.core.l4 import watch as watch_module
@@ -283,6 +284,9 @@
         self._resolver = resolver.Resolver(self.counters)
         self._unproven = unproven.UnprovenFlows()
         self._unproven_checked_ms = now_ms
+        self._shortages = shortage.Shortages(
+            self.agents, self.watch, self.counters, self._log, load
+        )
         self._silent_resolvers: dict[messages.Address, int] = {}
         self._removed_routes: dict[routes.RouteKey, int] = {}
         self._newer_replica: _NewerReplica | None = None
@@ -488,6 +492,9 @@
         if route is None:
             self._refuse_unrouted(received, now_ms)
             return
+        if former is None and self._shortages.refuses(received, route, now_ms):
+            self._reset(received)
+            return
         service = route.service_for(flow)
         found = placement.eligible(
             self.agents,
@@ -500,6 +507,7 @@
         ranked = placement.rank(
             flow, watched or found, data_centre=self._data_centre
         )
+        ranked = self._shortages.shorten(service, ranked)
         if not ranked:
             if self._is_settling(now_ms):
                 self.counters["opens_dropped_settling"] += 1
@@ -1099,6 +1107,10 @@
         if opening is None and not self._forget_refusing_owner(refused):
             return
         self.counters[f"opens_refused_{refused.reason}"] += 1
+        if opening is not None:
+            self._shortages.on_refused(
+                opening.service, opening.terms.priority, refused.reason
+            )
         self._log(
             "open_refused",
             flow=str(refused.flow),
@@ -1215,22 +1227,7 @@
             if sender not in self._departed_agents:
                 self._send_hello(sender)
             return
-        self._on_heartbeat(
-            known.heartbeat._replace(
-                number=pulse.number,
-                state=pulse.state,
-                slots=pulse.slots,
-                flows=pulse.flows,
-                busy=pulse.busy_percent / 100,
-                response_ms=float(pulse.response_ms),
-                cold_ms=pulse.cold_ms,
-                has_full_table=pulse.has_full_table,
-                unheard_ms=pulse.unheard_ms,
-                waiting=pulse.waiting,
-                work_ms=pulse.work_ms,
-            ),
-            now_ms,
-        )
+        self._on_heartbeat(known.heartbeat.updated(pulse), now_ms)
 
     def _on_gone(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
         """Removes an agent that stops together with its backend server."""
--- a/sapphirelift/core/l4/lookup.py
+++ b/sapphirelift/core/l4/lookup.py
@@ -115,7 +115,6 @@
         unasked: Agents that have not been asked yet.
         knows_all_agents: Whether all agents were known at the beginning.
         awaiting_answer: Agents asked that have not answered yet.
-        asked: Agents asked so far, likeliest first.
         possible_owners: Agents that answered that they may own the flow.
         probed_agent: Agent to which the packet has been sent as a probe, None
             if there is none.
@@ -141,9 +140,8 @@
     awaiting_answer: set[messages.Address] = dataclasses.field(
         default_factory=set
     )
-    asked: list[messages.Address] = dataclasses.field(default_factory=list)
-    possible_owners: set[messages.Address] = dataclasses.field(
-        default_factory=set
+    possible_owners: list[messages.Address] = dataclasses.field(
+        default_factory=list
     )
     probed_agent: messages.Address | None = None
     delivered: dict[messages.Address, list[packet.Packet]] = dataclasses.field(
@@ -306,7 +304,7 @@
             return []
         search.awaiting_answer.discard(answer.agent)
         if answer.verdict == messages.MAY_OWN:
-            search.possible_owners.add(answer.agent)
+            search.possible_owners.append(answer.agent)
         elif answer.verdict == messages.ENDED:
             search.ended_at = answer.agent
         return self._advance(answer.flow, now_ms)
@@ -324,7 +322,8 @@
             return []
         if search.probed_agent != agent:
             return []
-        search.possible_owners.discard(agent)
+        if agent in search.possible_owners:
+            search.possible_owners.remove(agent)
         search.probed_agent = None
         if not search.packets:
             search.packets.append(received)
@@ -417,16 +416,11 @@
             wave = search.unasked[: search.next_wave]
             del search.unasked[: search.next_wave]
             search.next_wave *= 2
-            search.asked += wave
             search.awaiting_answer.update(wave)
             search.asked_ms = now_ms
             return [SendAsk(address, flow) for address in wave]
         if search.possible_owners and self._may_probe(flow, search, now_ms):
-            search.probed_agent = next(
-                agent
-                for agent in search.asked
-                if agent in search.possible_owners
-            )
+            search.probed_agent = search.possible_owners[0]
             search.asked_ms = now_ms
             return [search.probe(search.packets[-1])]
         if search.ended_at is not None:
--- a/sapphirelift/core/l4/requests.py
+++ b/sapphirelift/core/l4/requests.py
@@ -315,6 +315,11 @@
         self._expiries.clear()
         self.active = 0
 
+    @property
+    def last_average(self) -> float:
+        """Moving average of requests in progress, as of its last change."""
+        return self._average
+
     def average(self, now_ms: int) -> float:
         """Returns the moving average of requests in progress."""
         self.expire(now_ms)
