Place flows by expected time, and overflow by spare room

Work was counted in flows and requests in progress: a slow server showed only at twice the median of eight response times, mixed over routes; one that fails quickly looked idle; a fixed bonus kept flows in their own data centre. Agents measure the server's own work by route and report it with the share of requests that seem to have failed. Balancers compare it with the service's median, avoid slow and failing servers up to a third of the service, and let flows leave a data centre without room in proportion to the others' room. Off by default; nothing is measured or decided otherwise then.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -21,6 +21,7 @@
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
 from sapphirelift.core.l4 import terms
+from sapphirelift.core.l4 import work
 from sapphirelift.core.membership import freshness
 
 _Phase = flow_table.Phase
@@ -147,6 +148,9 @@
         self._average_active_requests = 0.0
         self._average_updated_ms = now_ms
         self._response_ms = 0.0
+        self._work = work.Work(
+            self.counters, is_measured=load.places_by_expected_time
+        )
         self._state = agents.UNAVAILABLE
         self._freshness = freshness.Freshness()
         self._resumed_number = 0
@@ -238,6 +242,7 @@
             self._has_full_table = True
         self._unanswered_opens = 0
         self._unresponsive_until_ms = 0
+        self._work.reset()
         self._log(
             "backend_found",
             backend=report.backend_id,
@@ -449,6 +454,9 @@
             self._add_flow(received.flow, flow, now_ms)
             self.counters["flows_relearned"] += 1
         self.flows.touch(received.flow, flow, now_ms)
+        self._work.on_packet(
+            received, flow.request_ms, slots=self._slots, now_ms=now_ms
+        )
         if received.payload_bytes and flow.request_ms is not None:
             self._on_response(flow, now_ms)
         if received.is_fin or received.is_reset:
@@ -520,6 +528,7 @@
         flow = self.flows.get(key)
         if received.is_syn:
             self.counters["opens_bounced"] += 1
+            self._work.on_returned(now_ms)
             if flow is not None and flow.phase is _Phase.OPENING:
                 self._abandon_open(key, flow, "backend_refused", now_ms)
             return
@@ -945,8 +954,12 @@
         flow.request_ms = now_ms
         self._active_requests += 1
 
-    def _finish_request(self, flow: flow_table.Flow, now_ms: int) -> None:
+    def _finish_request(
+        self, flow: flow_table.Flow, now_ms: int, *, is_answered: bool = False
+    ) -> None:
         if flow.request_ms is not None:
+            if not is_answered:
+                self._work.on_unanswered(flow.request_ms, now_ms)
             self._update_average_active_requests(now_ms)
             flow.request_ms = None
             self._active_requests -= 1
@@ -954,7 +967,7 @@
     def _on_response(self, flow: flow_table.Flow, now_ms: int) -> None:
         assert flow.request_ms is not None
         took_ms = now_ms - flow.request_ms
-        self._finish_request(flow, now_ms)
+        self._finish_request(flow, now_ms, is_answered=True)
         if self.flows.has_opening:
             self._forward_held_opens(now_ms)
         self.samples.add("response", took_ms)
@@ -1078,7 +1091,7 @@
         )
         self.balancers.on_sent(address, now_ms)
         if self.balancers.is_introduced(address):
-            self._send(address, _pulse(heartbeat))
+            self._send(address, messages.pulse_of(heartbeat))
         else:
             self._send(address, heartbeat)
 
@@ -1086,6 +1099,7 @@
         """Returns a heartbeat with the next number and the current state."""
         self._update_average_active_requests(now_ms)
         self._heartbeat_number += 1
+        worked = self._work.report()
         return messages.Heartbeat(
             name=self.identity.name,
             address=self.identity.address,
@@ -1101,6 +1115,9 @@
             response_ms=round(self._response_ms, 1),
             cold_ms=self.backend.cold_ms(now_ms),
             has_full_table=self._has_full_table,
+            work_ms=worked.work_ms,
+            work_by_route=worked.work_by_route,
+            failed_percent=worked.failed_percent,
         )
 
     # Timers.
@@ -1136,6 +1153,7 @@
             now_ms, idle_timeout_ms=self._idle_timeout_ms
         ):
             self._finish_request(flow, now_ms)
+        self._work.fade()
         self._complete_table(now_ms)
         self._announce_state_change(now_ms)
 
@@ -1188,21 +1206,3 @@
 
     def _log(self, event: str, **fields: object) -> None:
         self._actions.append(actions.Log(event, fields))
-
-
-def _pulse(heartbeat: messages.Heartbeat) -> messages.Pulse:
-    """Returns the changing part of a heartbeat."""
-    return messages.Pulse(
-        incarnation=heartbeat.incarnation,
-        number=heartbeat.number,
-        state=heartbeat.state,
-        slots=heartbeat.slots,
-        flows=heartbeat.flows,
-        busy_percent=round(heartbeat.busy * 100),
-        response_ms=round(heartbeat.response_ms),
-        cold_ms=heartbeat.cold_ms,
-        has_full_table=heartbeat.has_full_table,
-        unheard_ms=heartbeat.unheard_ms,
-        waiting=heartbeat.waiting,
-        work_ms=heartbeat.work_ms,
-    )
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -251,6 +251,12 @@
         self._rng = rng
         self._data_centre = data_centre
         self.watch = watch_module.Watch(own=address, data_centre=data_centre)
+        self._placement = placement.Placement(
+            is_by_expected_time=load.places_by_expected_time,
+            data_centre=data_centre,
+            counters=self.counters,
+            log=self._log,
+        )
         self.contact_ms = contact_ms
         # Peers that the store answers, by their own word, and when.
         self._peers_with_store: dict[messages.Address, int] = {}
@@ -467,17 +473,15 @@
             self._refuse_unrouted(received, now_ms)
             return
         service = route.service_for(flow)
-        found = placement.eligible(
+        choice = self._placement.choose(
+            flow,
             self.agents,
-            service,
+            self.watch,
             route=route,
             evacuated=self.evacuations.data_centres,
             now_ms=now_ms,
         )
-        watched = [a for a in found if self.watch.includes(a.address)]
-        ranked = placement.rank(
-            flow, watched or found, data_centre=self._data_centre
-        )
+        ranked = choice.ranked
         if not ranked:
             if self._is_settling(now_ms):
                 self.counters["opens_dropped_settling"] += 1
@@ -496,7 +500,7 @@
         if len(self._openings) >= MAX_OPENINGS:
             self.counters["opens_dropped_table_full"] += 1
             return
-        for agent in found:
+        for agent in choice.found:
             if agent.address == former:
                 ranked = [agent, *(a for a in ranked if a is not agent)]
         opening = _Opening(
@@ -520,7 +524,7 @@
             busy=round(best.heartbeat.busy, 2),
             load_age_ms=now_ms - best.last_heard_ms,
             is_local=best.heartbeat.data_centre == self._data_centre,
-            choices=len(watched) or len(found),
+            choices=choice.compared_of,
             configuration_revision=self._configuration_store_revision,
         )
         self._send_open(opening)
@@ -1140,22 +1144,7 @@
             if sender not in self._departed_agents:
                 self._send_hello(sender)
             return
-        self._on_heartbeat(
-            known.heartbeat._replace(
-                number=pulse.number,
-                state=pulse.state,
-                slots=pulse.slots,
-                flows=pulse.flows,
-                busy=pulse.busy_percent / 100,
-                response_ms=float(pulse.response_ms),
-                cold_ms=pulse.cold_ms,
-                has_full_table=pulse.has_full_table,
-                unheard_ms=pulse.unheard_ms,
-                waiting=pulse.waiting,
-                work_ms=pulse.work_ms,
-            ),
-            now_ms,
-        )
+        self._on_heartbeat(messages.with_pulse(known.heartbeat, pulse), now_ms)
 
     def _on_gone(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
         """Removes an agent that stops together with its backend server."""
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -243,6 +243,8 @@
         waiting: Number of requests and openings that wait at the agent.
         work_ms: Average time that the backend server works on a request,
             without waits; 0.0 before the first one.
+        work_by_route: Work by route, see ``work.Report``.
+        failed_percent: Share of requests that seem to have failed.
     """
 
     name: str
@@ -262,6 +264,8 @@
     unheard_ms: int = 0
     waiting: int = 0
     work_ms: float = 0.0
+    work_by_route: tuple[int, ...] = ()
+    failed_percent: int = 0
 
 
 class Pulse(NamedTuple):
@@ -285,6 +289,47 @@
     unheard_ms: int
     waiting: int = 0
     work_ms: float = 0.0
+    work_by_route: tuple[int, ...] = ()
+    failed_percent: int = 0
+
+
+def pulse_of(heartbeat: Heartbeat) -> Pulse:
+    """Returns the changing part of a heartbeat."""
+    return Pulse(
+        incarnation=heartbeat.incarnation,
+        number=heartbeat.number,
+        state=heartbeat.state,
+        slots=heartbeat.slots,
+        flows=heartbeat.flows,
+        busy_percent=round(heartbeat.busy * 100),
+        response_ms=round(heartbeat.response_ms),
+        cold_ms=heartbeat.cold_ms,
+        has_full_table=heartbeat.has_full_table,
+        unheard_ms=heartbeat.unheard_ms,
+        waiting=heartbeat.waiting,
+        work_ms=heartbeat.work_ms,
+        work_by_route=heartbeat.work_by_route,
+        failed_percent=heartbeat.failed_percent,
+    )
+
+
+def with_pulse(heartbeat: Heartbeat, pulse: Pulse) -> Heartbeat:
+    """Returns an earlier heartbeat with the changing part of a later one."""
+    return heartbeat._replace(
+        number=pulse.number,
+        state=pulse.state,
+        slots=pulse.slots,
+        flows=pulse.flows,
+        busy=pulse.busy_percent / 100,
+        response_ms=float(pulse.response_ms),
+        cold_ms=pulse.cold_ms,
+        has_full_table=pulse.has_full_table,
+        unheard_ms=pulse.unheard_ms,
+        waiting=pulse.waiting,
+        work_ms=pulse.work_ms,
+        work_by_route=pulse.work_by_route,
+        failed_percent=pulse.failed_percent,
+    )
 
 
 class HeartbeatAck(NamedTuple):
--- a/sapphirelift/core/l4/placement.py
+++ b/sapphirelift/core/l4/placement.py
@@ -1,13 +1,20 @@
 """Selection of the agents that may open a new flow."""
 
+import collections
 import heapq
 from collections.abc import Callable
+from typing import NamedTuple
 
 import xxhash
 
 from sapphirelift.core.l4 import agents
+from sapphirelift.core.l4 import expected_time
+from sapphirelift.core.l4 import messages
+from sapphirelift.core.l4 import overflow
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import routes
+from sapphirelift.core.l4 import terms as terms_module
+from sapphirelift.core.l4 import watch as watch_module
 
 # Maximum number of candidates for an opening packet: enough to leave a third
 # one after the failure of two instances, which the deployments tolerate.
@@ -29,6 +36,14 @@
 # median. The mix of requests alone does not cause a ratio of two.
 SLOW_RATIO = 2.0
 
+# A failed request that may be repeated costs its caller the latency objective,
+# or this multiple of the work where a route has none; another one its timeout,
+# or this long.
+OBJECTIVE_WORK = 5.0
+UNKNOWN_TIMEOUT_MS = 1000.0
+# Interval at which services that are gone are forgotten.
+FORGET_MS = 60_000
+
 
 def expected_work(agent: agents.KnownAgent, median_response_ms: float) -> float:
     """Returns the expected load per slot that a new flow finds at an agent.
@@ -142,3 +157,197 @@
         and agent.heartbeat.data_centre not in evacuated
         and (not route.regions or agent.heartbeat.region in route.regions)
     ]
+
+
+class Choice(NamedTuple):
+    """Agents for one opening packet.
+
+    Attributes:
+        ranked: Those to which it is offered, best first.
+        found: All that may take the flow.
+        compared_of: Number of agents among which the choice was made.
+    """
+
+    ranked: list[agents.KnownAgent]
+    found: list[agents.KnownAgent]
+    compared_of: int
+
+
+class Placement:
+    """Chooses the agents for new flows, with the loads known to a balancer."""
+
+    def __init__(
+        self,
+        *,
+        is_by_expected_time: bool,
+        data_centre: str,
+        counters: collections.Counter[str],
+        log: expected_time.Log,
+    ) -> None:
+        """Creates a placement that knows no loads.
+
+        Args:
+            is_by_expected_time: Whether flows go where an answer is expected
+                soonest, and leave a data centre without room for them.
+            data_centre: Data centre of the balancer; empty for no preference.
+            counters: Event counts by name.
+            log: Writes a log line, with its fields as keyword arguments.
+        """
+        self._is_by_expected_time = is_by_expected_time
+        self._data_centre = data_centre
+        self._counters = counters
+        self._times = expected_time.ExpectedTime(log)
+        self._overflow = overflow.Overflow(
+            own=data_centre, counters=counters, log=log
+        )
+        self._forget_ms = 0
+
+    def choose(
+        self,
+        flow: packet.FlowKey,
+        known: agents.Agents,
+        watch: watch_module.Watch,
+        *,
+        route: routes.Route,
+        evacuated: frozenset[str],
+        now_ms: int,
+    ) -> Choice:
+        """Returns the agents for a new flow.
+
+        Args:
+            flow: The flow.
+            known: All agents.
+            watch: Tells from which of them the balancer hears often.
+            route: Route of the flow.
+            evacuated: Evacuated data centres.
+            now_ms: Current time.
+        """
+        service = route.service_for(flow)
+        found = eligible(
+            known, service, route=route, evacuated=evacuated, now_ms=now_ms
+        )
+        watched = [agent for agent in found if watch.includes(agent.address)]
+        candidates = watched or found
+        if not self._is_by_expected_time:
+            ranked = rank(flow, candidates, data_centre=self._data_centre)
+            return Choice(ranked, found, len(candidates))
+        if now_ms >= self._forget_ms:
+            self._forget_ms = now_ms + FORGET_MS
+            self._times.keep(known.services())
+            self._overflow.keep(known.services())
+        self._times.update(service, candidates, now_ms)
+        self._overflow.update(service, found, watched, now_ms)
+        ranked = self._rank(flow, service, candidates, route.terms, now_ms)
+        return Choice(ranked, found, len(candidates))
+
+    def _rank(
+        self,
+        flow: packet.FlowKey,
+        service: str,
+        candidates: list[agents.KnownAgent],
+        terms: terms_module.Terms,
+        now_ms: int,
+    ) -> list[agents.KnownAgent]:
+        """Returns the agents with the least expected time, best first.
+
+        Those of the data centre that is chosen for the flow come before all
+        others. The last one is of another data centre, if there is any.
+        """
+        rendezvous_hash = _flow_hash(flow)
+        centre = self._overflow.choose(service, flow)
+        second = self._data_centre
+        if centre == second:
+            second = self._overflow.neighbour(service, flow)
+
+        def is_away(agent: agents.KnownAgent) -> bool:
+            return centre not in ("", agent.heartbeat.data_centre)
+
+        def away_order(agent: agents.KnownAgent) -> tuple[bool, int]:
+            is_second = agent.heartbeat.data_centre == second
+            return not is_second, rendezvous_hash(agent)
+
+        near = [agent for agent in candidates if not is_away(agent)]
+        away = [agent for agent in candidates if is_away(agent)]
+        away_count = max(
+            min(REMOTE_COMPARED, len(away)), MAX_COMPARED - len(near)
+        )
+        near = heapq.nsmallest(
+            MAX_COMPARED - away_count, near, key=rendezvous_hash
+        )
+        away = heapq.nsmallest(away_count, away, key=away_order)
+        order = self._time_order(
+            flow, service, near=near, away=away, terms=terms, now_ms=now_ms
+        )
+        ranked = sorted(
+            (*near, *away), key=lambda a: (order[a.address], rendezvous_hash(a))
+        )
+        chosen = ranked[:MAX_CANDIDATES]
+        if len(chosen) > 1 and not any(map(is_away, chosen)):
+            chosen[-1] = next(filter(is_away, ranked), chosen[-1])
+        return chosen
+
+    def _time_order(
+        self,
+        flow: packet.FlowKey,
+        service: str,
+        *,
+        near: list[agents.KnownAgent],
+        away: list[agents.KnownAgent],
+        terms: terms_module.Terms,
+        now_ms: int,
+    ) -> dict[messages.Address, tuple[int, float]]:
+        """Returns for each agent the class in which it comes, and its time.
+
+        Avoided servers get a flow if all near ones are full, or if all others
+        are avoided too.
+        """
+        if terms.is_repeatable:
+            cost_ms = float(terms.aim_ms) or (
+                OBJECTIVE_WORK * self._times.work_ms(service)
+            )
+        else:
+            cost_ms = float(terms.timeout_ms) or UNKNOWN_TIMEOUT_MS
+        compared = [*near, *away]
+        mean_load = sum(
+            expected_time.load(agent, now_ms) for agent in compared
+        ) / max(len(compared), 1)
+        speeds = {
+            agent.address: self._speed(flow, service, agent, len(near))
+            for agent in compared
+        }
+        has_good = not all(speeds[agent.address].is_avoided for agent in near)
+        order: dict[messages.Address, tuple[int, float]] = {}
+        for index, agent in enumerate(compared):
+            speed = speeds[agent.address]
+            load = expected_time.load(agent, now_ms, mean_load=mean_load)
+            is_near = index < len(near)
+            if speed.is_avoided:
+                rank_class = 1 if is_near and has_good else 3
+            elif is_near:
+                rank_class = 0 if load < expected_time.FULL_LOAD else 1
+            else:
+                rank_class = 2
+            expected_ms = self._times.expected_ms(
+                service,
+                agent,
+                speed=speed,
+                mean_load=mean_load,
+                failure_cost_ms=cost_ms,
+                now_ms=now_ms,
+            )
+            order[agent.address] = rank_class, round(expected_ms, 1)
+        return order
+
+    def _speed(
+        self,
+        flow: packet.FlowKey,
+        service: str,
+        agent: agents.KnownAgent,
+        near_count: int,
+    ) -> expected_time.Speed:
+        """Returns how fast a server counts as for one flow."""
+        speed = self._times.speed(service, agent)
+        if speed.is_avoided and expected_time.is_trial(flow, agent, near_count):
+            self._counters["opens_trying_avoided"] += 1
+            return expected_time.Speed()
+        return speed
