--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -1115,6 +1115,7 @@
             response_ms=round(self._response_ms, 1),
             cold_ms=self.backend.cold_ms(now_ms),
             has_full_table=self._has_full_table,
+            waiting=len(self.flows.held()),
             work_ms=worked.work_ms,
             work_by_route=worked.work_by_route,
             failed_percent=worked.failed_percent,
--- a/sapphirelift/core/l4/expected_time.py
+++ b/sapphirelift/core/l4/expected_time.py
@@ -28,8 +28,10 @@
 # of that has no time left for a request ahead, and is avoided.
 AVOIDED_SLOWNESS = 2.5
 # So is one that fails this share of requests more than the others do. A caller
-# has three tries; each failure takes one.
+# has three tries; each failure takes one. Where others fail too, it has to be
+# half as much again, as shares are of some twenty requests.
 AVOIDED_FAILURES = 0.10
+AVOIDED_EXCESS = 0.5
 # Share of a service, by weight, that may be avoided. The others have to bear
 # its load: half as much again.
 MAX_AVOIDED_SHARE = 1 / 3
@@ -49,7 +51,8 @@
     Attributes:
         slowness: Multiple of the usual work; at least 1.0, as failures are
             quick as well.
-        failures: Share of requests that fail, beyond the usual share.
+        failures: Share of requests that fail, beyond the usual share; 0.0
+            if there are too few to tell.
         is_avoided: Whether it gets new flows only if the others are full.
     """
 
@@ -60,10 +63,7 @@
     @property
     def is_avoidable(self) -> bool:
         """Whether it is slow or fails so often that it is better avoided."""
-        return (
-            self.slowness >= AVOIDED_SLOWNESS
-            or self.failures >= AVOIDED_FAILURES
-        )
+        return self.slowness >= AVOIDED_SLOWNESS or self.failures > 0
 
     @property
     def badness(self) -> float:
@@ -96,8 +96,7 @@
         usual_failures = _usual_failures(known)
         found = {
             agent.address: Speed(
-                _slowness(agent, usual),
-                max(agent.heartbeat.failed_percent / 100 - usual_failures, 0.0),
+                _slowness(agent, usual), _failures(agent, usual_failures)
             )
             for agent in known
         }
@@ -128,6 +127,13 @@
     return statistics.median_low(percents) / 100
 
 
+def _failures(agent: agents.KnownAgent, usual: float) -> float:
+    """Returns the share of requests that fail here and not elsewhere."""
+    excess = agent.heartbeat.failed_percent / 100 - usual
+    limit = max(AVOIDED_FAILURES, AVOIDED_EXCESS * usual)
+    return excess if excess >= limit else 0.0
+
+
 def _slowness(agent: agents.KnownAgent, usual: Mapping[int, float]) -> float:
     """Returns the multiple of the usual work, route by route.
 
@@ -224,49 +230,64 @@
             return _USUAL
         return comparison.speeds.get(agent.address, _USUAL)
 
-    def expected_ms(
-        self,
-        service: str,
-        agent: agents.KnownAgent,
-        *,
-        speed: Speed,
-        mean_load: float,
-        failure_cost_ms: float,
-        now_ms: int,
+    def work_at_ms(
+        self, service: str, agent: agents.KnownAgent, speed: Speed
     ) -> float:
-        """Returns the expected time to an answer on a new flow.
-
-        Args:
-            service: The service.
-            agent: The agent.
-            speed: How its server compares with the others.
-            mean_load: Mean load of the agents compared with it.
-            failure_cost_ms: Time that a failed request costs its caller.
-            now_ms: Current time.
-        """
+        """Returns the expected work of a request at an agent."""
         work_ms = self.work_ms(service) * speed.slowness
-        if agent.is_cold:
-            work_ms *= COLD_WORK
-        ahead = load(agent, now_ms, mean_load=mean_load)
-        ahead += FLOW_SHARE * (agent.flows + agent.opens_since) / agent.weight
-        return work_ms * (ahead + 1.0) + speed.failures * failure_cost_ms
+        return work_ms * COLD_WORK if agent.is_cold else work_ms
 
 
-def load(
-    agent: agents.KnownAgent, now_ms: int, *, mean_load: float = 0.0
+def expected_ms(
+    agent: agents.KnownAgent,
+    *,
+    work_ms: float,
+    load: float,
+    speed: Speed,
+    failure_cost_ms: float,
 ) -> float:
-    """Returns the requests for each slot that a new one would find.
+    """Returns the expected time to an answer on a new flow.
 
     Args:
         agent: The agent.
-        now_ms: Current time.
-        mean_load: Mean load of the agents compared with it. One whose
-            heartbeat is late counts as no less loaded.
+        work_ms: Work of a request there.
+        load: Requests for each slot that a new one would find there.
+        speed: How its server compares with the others.
+        failure_cost_ms: Time that a failed request costs its caller.
+    """
+    flows = (agent.flows + agent.opens_since) / agent.weight
+    expected = work_ms * (1.0 + load + FLOW_SHARE * flows)
+    return expected + speed.failures * failure_cost_ms
+
+
+def load(agent: agents.KnownAgent) -> float:
+    """Returns the requests for each slot that a new one may find.
+
+    All flows opened since the heartbeat count, also those whose first request
+    has been answered meanwhile: that spreads flows between two heartbeats.
     """
     heartbeat = agent.heartbeat
     ahead = heartbeat.busy + heartbeat.waiting + agent.opens_since
-    found = ahead / agent.weight
-    return max(found, mean_load) if agent.is_late(now_ms) else found
+    return ahead / agent.weight
+
+
+def recent_load(
+    agent: agents.KnownAgent, now_ms: int, *, work_ms: float
+) -> float:
+    """Returns the requests for each slot that are likely in progress.
+
+    Args:
+        agent: The agent.
+        now_ms: Current time.
+        work_ms: Work of a request there.
+    """
+    heartbeat = agent.heartbeat
+    known = (heartbeat.busy + heartbeat.waiting) / agent.weight
+    # Of the flows opened since the heartbeat, those that came within the time
+    # of a request have one in progress.
+    elapsed_ms = max(now_ms - agent.heartbeat_ms, 1)
+    recent = min(work_ms * (1.0 + known) / elapsed_ms, 1.0)
+    return known + agent.opens_since * recent / agent.weight
 
 
 def is_trial(flow: packet.FlowKey, agent: agents.KnownAgent, of: int) -> bool:
--- a/sapphirelift/core/l4/overflow.py
+++ b/sapphirelift/core/l4/overflow.py
@@ -19,8 +19,8 @@
 # not pay for it; flows come home below it. Between the two the share stays.
 TAKE_LOAD = 1.0
 # Time constant of the loads of data centres. Those in heartbeats are averages
-# over a second already.
-LOAD_AVERAGE_MS = 500
+# over a second already, which is most of the time in which flows overflow.
+LOAD_AVERAGE_MS = 250
 # Interval at which loads and shares are updated: that of heartbeats.
 UPDATE_MS = 400
 # Time in which the share grows if the load stays at twice ``SEND_LOAD``: open
@@ -186,7 +186,7 @@
             grown = share + (1.0 - share) * (
                 min(excess, 1.0) * min(elapsed_ms / GROWTH_MS, 1.0)
             )
-            wanted = max(1.0 - SEND_LOAD / own.load, grown)
+            wanted = max(excess_share(own.load), grown)
             # No more than the others have room for.
             limit = share + room / (own.load * own.slots)
             return min(max(share, wanted), limit, MAX_SHARE)
@@ -212,7 +212,7 @@
             return self._own
         if self._own in state.centres and (
             not any(centre.room for centre in self._others(state).values())
-            or _fraction(f"leaves {tuple(flow)}") >= state.share
+            or not leaves(flow, state.share)
         ):
             return self._own
         chosen = self.neighbour(service, flow) or self._own
@@ -239,6 +239,19 @@
         )
 
 
+def excess_share(load: float) -> float:
+    """Returns the share of flows by which a load is above ``SEND_LOAD``."""
+    return max(1.0 - SEND_LOAD / load, 0.0) if load > 0 else 0.0
+
+
+def leaves(flow: packet.FlowKey, share: float) -> bool:
+    """Returns whether a flow is of the share of those that leave.
+
+    The flows of a smaller share are among those of a larger one.
+    """
+    return _fraction(f"leaves {tuple(flow)}") < share
+
+
 def _fraction(key: str) -> float:
     """Returns a hash between 0 and 1, excluding both."""
     return (xxhash.xxh32_intdigest(key.encode()) + 0.5) / (1 << 32)
--- a/sapphirelift/core/l4/placement.py
+++ b/sapphirelift/core/l4/placement.py
@@ -173,6 +173,22 @@
     compared_of: int
 
 
+class _Estimate(NamedTuple):
+    """What a flow would find at one agent.
+
+    Attributes:
+        agent: The agent.
+        speed: How its server compares with the others.
+        work_ms: Work of a request there.
+        load: Requests for each slot ahead of it.
+    """
+
+    agent: agents.KnownAgent
+    speed: expected_time.Speed
+    work_ms: float
+    load: float
+
+
 class Placement:
     """Chooses the agents for new flows, with the loads known to a balancer."""
 
@@ -307,37 +323,56 @@
             )
         else:
             cost_ms = float(terms.timeout_ms) or UNKNOWN_TIMEOUT_MS
-        compared = [*near, *away]
-        mean_load = sum(
-            expected_time.load(agent, now_ms) for agent in compared
-        ) / max(len(compared), 1)
-        speeds = {
-            agent.address: self._speed(flow, service, agent, len(near))
-            for agent in compared
-        }
-        has_good = not all(speeds[agent.address].is_avoided for agent in near)
+        estimates = [
+            self._estimate(flow, service, agent, len(near))
+            for agent in (*near, *away)
+        ]
+        fresh = [e.load for e in estimates if not e.agent.is_late(now_ms)]
+        mean_load = sum(fresh) / max(len(fresh), 1)
+        good = [e for e in estimates[: len(near)] if not e.speed.is_avoided]
+        # Good servers come first as long as one has room.
+        loads = [
+            expected_time.recent_load(e.agent, now_ms, work_ms=e.work_ms)
+            for e in good
+        ]
+        is_full = min(loads, default=0.0) >= expected_time.FULL_LOAD
+        leaves = is_full and overflow.leaves(
+            flow, overflow.excess_share(sum(loads) / len(loads))
+        )
         order: dict[messages.Address, tuple[int, float]] = {}
-        for index, agent in enumerate(compared):
-            speed = speeds[agent.address]
-            load = expected_time.load(agent, now_ms, mean_load=mean_load)
+        for index, (agent, speed, work_ms, load) in enumerate(estimates):
+            if agent.is_late(now_ms):
+                # It may be as busy as the others meanwhile.
+                load = max(load, mean_load)
             is_near = index < len(near)
             if speed.is_avoided:
-                rank_class = 1 if is_near and has_good else 3
+                rank_class = 1 if is_near and good else 3
             elif is_near:
-                rank_class = 0 if load < expected_time.FULL_LOAD else 1
+                rank_class = int(is_full)
             else:
-                rank_class = 2
-            expected_ms = self._times.expected_ms(
-                service,
+                has_room = load < overflow.TAKE_LOAD
+                rank_class = 0 if leaves and has_room else 2
+            expected_ms = expected_time.expected_ms(
                 agent,
+                work_ms=work_ms,
+                load=load,
                 speed=speed,
-                mean_load=mean_load,
                 failure_cost_ms=cost_ms,
-                now_ms=now_ms,
             )
             order[agent.address] = rank_class, round(expected_ms, 1)
         return order
 
+    def _estimate(
+        self,
+        flow: packet.FlowKey,
+        service: str,
+        agent: agents.KnownAgent,
+        near_count: int,
+    ) -> _Estimate:
+        speed = self._speed(flow, service, agent, near_count)
+        work_ms = self._times.work_at_ms(service, agent, speed)
+        return _Estimate(agent, speed, work_ms, expected_time.load(agent))
+
     def _speed(
         self,
         flow: packet.FlowKey,
--- a/sapphirelift/core/l4/work.py
+++ b/sapphirelift/core/l4/work.py
@@ -28,6 +28,9 @@
 # that has recovered is shown to have by a few requests.
 RENEWAL_MS = 5000
 MAX_RENEWAL = 0.3
+# Share of the newest request in that of failures. One failure alone is no
+# reason to avoid a server, so it does not count more after a pause.
+FAILURE_SMOOTHING = 0.05
 # Answers on a route before one can be told to be unusual.
 MIN_ANSWERS = 8
 # An answer counts as failed if both its first packet and its work are less than
@@ -70,12 +73,26 @@
     count: int = 0
     updated_ms: int = 0
 
-    def add(self, value: float, now_ms: int) -> None:
-        """Adds a value."""
+    def add(
+        self,
+        value: float,
+        now_ms: int,
+        *,
+        smoothing: float = SMOOTHING,
+        max_renewal: float = MAX_RENEWAL,
+    ) -> None:
+        """Adds a value.
+
+        Args:
+            value: The value.
+            now_ms: Current time.
+            smoothing: Least share of the value in the average.
+            max_renewal: Greatest share after a pause.
+        """
         self.count += 1
         gap_ms = max(now_ms - self.updated_ms, 0)
-        renewal = min(1.0 - math.exp(-gap_ms / RENEWAL_MS), MAX_RENEWAL)
-        weight = max(SMOOTHING, 1.0 / self.count, renewal)
+        renewal = min(1.0 - math.exp(-gap_ms / RENEWAL_MS), max_renewal)
+        weight = max(smoothing, 1.0 / self.count, renewal)
         self.value += weight * (value - self.value)
         self.updated_ms = now_ms
 
@@ -124,6 +141,8 @@
             maxlen=MAX_ANSWERS
         )
         self._work_ms = _Average()
+        # Without requests that had no answer, which would hide the next ones.
+        self._answered_ms = _Average()
         self._failed = _Average()
 
     def on_packet(
@@ -164,15 +183,17 @@
             now_ms: Current time.
         """
         took_ms = now_ms - request_ms
-        known_ms = self._work_ms.value
-        if not self._is_measured or took_ms < UNANSWERED_WORK * known_ms:
+        limit_ms = UNANSWERED_WORK * self._answered_ms.value
+        if not self._is_measured or took_ms < limit_ms:
             return
         self._work_ms.add(took_ms, now_ms)
         self._on_failed("requests_unanswered", now_ms)
 
     def _on_failed(self, name: str, now_ms: int) -> None:
         self._counters[name] += 1
-        self._failed.add(1.0, now_ms)
+        self._failed.add(
+            1.0, now_ms, smoothing=FAILURE_SMOOTHING, max_renewal=0.0
+        )
 
     def _on_answer(
         self, received: packet.Packet, answer: _Answer, slots: int
@@ -192,7 +213,8 @@
         found.work_ms.add(took_ms, now_ms)
         found.first_bytes.add(received.payload_bytes, now_ms)
         self._work_ms.add(took_ms, now_ms)
-        self._failed.add(0.0, now_ms)
+        self._answered_ms.add(took_ms, now_ms)
+        self._failed.add(0.0, now_ms, smoothing=FAILURE_SMOOTHING)
 
     def _began_ms(self, request_ms: int, slots: int) -> int:
         """Returns when the server could begin with a request just answered.
