--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -174,6 +174,7 @@
             "table": len(self.flows),
             "busy": self._active_requests,
             "response_ms": round(self._response_ms, 1),
+            "work": self._work.report()._asdict(),
             "balancers": len(self.balancers),
             "has_full_table": self._has_full_table,
             "is_evacuated": self._is_evacuated,
@@ -1154,7 +1155,6 @@
             now_ms, idle_timeout_ms=self._idle_timeout_ms
         ):
             self._finish_request(flow, now_ms)
-        self._work.fade()
         self._complete_table(now_ms)
         self._announce_state_change(now_ms)
 
--- a/sapphirelift/core/l4/work.py
+++ b/sapphirelift/core/l4/work.py
@@ -19,6 +19,9 @@
 # Routes in a report: the busiest ones. Three show whether a server is slow in
 # all that it does, and take 18 bytes.
 REPORTED_ROUTES = 3
+# Answers of the busiest route at which the counts of all routes are halved, so
+# that the busiest routes of the last seconds are reported.
+MAX_COUNTED = 256
 # Answers remembered to tell when a slot became free. A server queues a few
 # requests beyond its slots.
 MAX_ANSWERS = 32
@@ -203,6 +206,9 @@
         self._answers.append(answer)
         found = self._route(received.flow)
         found.answers += 1
+        if found.answers >= MAX_COUNTED:
+            for other in self._routes.values():
+                other.answers //= 2
         if (
             found.work_ms.count >= MIN_ANSWERS
             and took_ms < UNUSUAL_SHARE * found.work_ms.value
@@ -264,11 +270,6 @@
             else 0,
         )
 
-    def fade(self) -> None:
-        """Halves the counts of answers; to be called every second."""
-        for found in self._routes.values():
-            found.answers //= 2
-
 
 def route_number(key: routes.RouteKey) -> int:
     """Returns a number of 16 bits by which daemons name a route."""
