--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -148,9 +148,7 @@
         self._average_active_requests = 0.0
         self._average_updated_ms = now_ms
         self._response_ms = 0.0
-        self._work = work.Work(
-            self.counters, is_measured=load.places_by_expected_time
-        )
+        self._work = work.Work(self.counters, load)
         self._state = agents.UNAVAILABLE
         self._freshness = freshness.Freshness()
         self._resumed_number = 0
--- a/sapphirelift/core/l4/work.py
+++ b/sapphirelift/core/l4/work.py
@@ -11,6 +11,7 @@
 
 import xxhash
 
+from sapphirelift.core.l4 import load_settings
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import routes
 
@@ -123,16 +124,19 @@
     """
 
     def __init__(
-        self, counters: collections.Counter[str], *, is_measured: bool
+        self,
+        counters: collections.Counter[str],
+        load: load_settings.LoadSettings,
     ) -> None:
         """Creates figures of a server that has answered nothing.
 
         Args:
             counters: Event counts by name.
-            is_measured: Whether to measure; reports are empty otherwise.
+            load: Decisions under load that the deployment asks for. Without
+                placement by expected time, nothing is measured.
         """
         self._counters = counters
-        self._is_measured = is_measured
+        self._is_measured = load.places_by_expected_time
         self.reset()
 
     def reset(self) -> None:
--- a/tests/test_l4_work.py
+++ b/tests/test_l4_work.py
@@ -23,7 +23,8 @@
     def __init__(self, slots: int = 1) -> None:
         self.now_ms = 1_000_000
         self.slots = slots
-        self.work = work.Work(collections.Counter(), is_measured=IS_ON)
+        settings = load_settings.LoadSettings(places_by_expected_time=IS_ON)
+        self.work = work.Work(collections.Counter(), settings)
 
     def answer(
         self,
