Measure an answer where the agent tells it from other packets

The first packet of an answer and a reset are handed over by themselves, so that a retransmission of an earlier answer is none once the agent tells.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -453,11 +453,13 @@
             self._add_flow(received.flow, flow, now_ms)
             self.counters["flows_relearned"] += 1
         self.flows.touch(received.flow, flow, now_ms)
-        self._work.on_packet(
-            received, flow.request_ms, slots=self._slots, now_ms=now_ms
-        )
         if received.payload_bytes and flow.request_ms is not None:
+            self._work.on_answer(
+                received, flow.request_ms, slots=self._slots, now_ms=now_ms
+            )
             self._on_response(flow, now_ms)
+        if received.is_reset:
+            self._work.on_reset(flow.request_ms, now_ms)
         if received.is_fin or received.is_reset:
             self._mark_ended(received.flow, flow, now_ms)
         self._actions.append(actions.SendCaller(received))
--- a/sapphirelift/core/l4/work.py
+++ b/sapphirelift/core/l4/work.py
@@ -152,29 +152,35 @@
         self._answered_ms = _Average()
         self._failed = _Average()
 
-    def on_packet(
+    def on_answer(
         self,
         received: packet.Packet,
-        request_ms: int | None,
+        request_ms: int,
         *,
         slots: int,
         now_ms: int,
     ) -> None:
-        """Handles a packet of the backend server.
+        """Handles the first packet of an answer.
 
         Args:
             received: The packet.
-            request_ms: When the flow's request in progress arrived at the
-                server, None if there is none.
+            request_ms: When the request arrived at the server.
             slots: Number of requests that the server runs concurrently.
             now_ms: Current time.
         """
-        if request_ms is None or not self._is_measured:
-            return
-        if received.payload_bytes:
+        if self._is_measured:
             answer = _Answer(request_ms, now_ms)
-            self._on_answer(received, answer, max(slots, 1))
-        elif received.is_reset:
+            self._add_answer(received, answer, max(slots, 1))
+
+    def on_reset(self, request_ms: int | None, now_ms: int) -> None:
+        """Handles a reset by the backend server.
+
+        Args:
+            request_ms: When the flow's request in progress arrived at the
+                server, None if there is none.
+            now_ms: Current time.
+        """
+        if self._is_measured and request_ms is not None:
             self._on_failed("requests_reset", now_ms)
 
     def on_returned(self, now_ms: int) -> None:
@@ -202,7 +208,7 @@
             1.0, now_ms, smoothing=FAILURE_SMOOTHING, max_renewal=0.0
         )
 
-    def _on_answer(
+    def _add_answer(
         self, received: packet.Packet, answer: _Answer, slots: int
     ) -> None:
         now_ms = answer.answer_ms
--- a/tests/test_l4_work.py
+++ b/tests/test_l4_work.py
@@ -39,7 +39,7 @@
             is_syn=False,
             is_ack=True,
             is_fin=False,
-            is_reset=not size,
+            is_reset=False,
             is_bounced=False,
             sequence=1,
             acknowledged=1,
@@ -47,7 +47,7 @@
             raw=b"",
         )
         self.now_ms = now_ms
-        self.work.on_packet(
+        self.work.on_answer(
             received, requested_ms, slots=self.slots, now_ms=now_ms
         )
 
@@ -149,7 +149,7 @@
             server.serve(20)
             for _ in range(20):
                 if is_reset:
-                    server.serve(1, work_ms=1, size=0)
+                    server.work.on_reset(server.now_ms - 1, server.now_ms)
                 else:
                     server.work.on_returned(server.now_ms)
             assert server.work.report().failed_percent >= 50
