--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -458,8 +458,7 @@
                 received, flow.request_ms, slots=self._slots, now_ms=now_ms
             )
             self._on_response(flow, now_ms)
-        if received.is_reset:
-            self._work.on_reset(flow.request_ms, now_ms)
+        self._work.on_end(received, flow.request_ms, now_ms)
         if received.is_fin or received.is_reset:
             self._mark_ended(received.flow, flow, now_ms)
         self._actions.append(actions.SendCaller(received))
--- a/sapphirelift/core/l4/work.py
+++ b/sapphirelift/core/l4/work.py
@@ -172,15 +172,19 @@
             answer = _Answer(request_ms, now_ms)
             self._add_answer(received, answer, max(slots, 1))
 
-    def on_reset(self, request_ms: int | None, now_ms: int) -> None:
-        """Handles a reset by the backend server.
+    def on_end(
+        self, received: packet.Packet, request_ms: int | None, now_ms: int
+    ) -> None:
+        """Handles a packet that may end a flow with its request in progress.
 
         Args:
+            received: Packet of the backend server.
             request_ms: When the flow's request in progress arrived at the
                 server, None if there is none.
             now_ms: Current time.
         """
-        if self._is_measured and request_ms is not None:
+        is_broken_off = received.is_reset and request_ms is not None
+        if self._is_measured and is_broken_off:
             self._on_failed("requests_reset", now_ms)
 
     def on_returned(self, now_ms: int) -> None:
--- a/tests/test_l4_work.py
+++ b/tests/test_l4_work.py
@@ -34,12 +34,13 @@
         route_ip: int = 1,
         size: int = ANSWER_BYTES,
     ) -> None:
+        """Lets the agent see an answer, or a reset if it has no size."""
         received = packet.Packet(
             packet.FlowKey(9, 40_000, route_ip, 443),
             is_syn=False,
             is_ack=True,
             is_fin=False,
-            is_reset=False,
+            is_reset=not size,
             is_bounced=False,
             sequence=1,
             acknowledged=1,
@@ -47,9 +48,14 @@
             raw=b"",
         )
         self.now_ms = now_ms
-        self.work.on_answer(
-            received, requested_ms, slots=self.slots, now_ms=now_ms
-        )
+        if size:
+            self.work.on_answer(
+                received, requested_ms, slots=self.slots, now_ms=now_ms
+            )
+            # The answer is complete.
+            self.work.on_end(received, None, now_ms)
+        else:
+            self.work.on_end(received, requested_ms, now_ms)
 
     def serve(
         self,
@@ -149,7 +155,7 @@
             server.serve(20)
             for _ in range(20):
                 if is_reset:
-                    server.work.on_reset(server.now_ms - 1, server.now_ms)
+                    server.serve(1, work_ms=1, size=0)
                 else:
                     server.work.on_returned(server.now_ms)
             assert server.work.report().failed_percent >= 50
