--- a/tests/test_l4_expected_time.py
+++ b/tests/test_l4_expected_time.py
@@ -61,10 +61,7 @@
         assert "agent_avoided" in flows.logged
 
     def test_all_slow_together_share_the_flows(self) -> None:
-        """Every server at five times the work: nobody is avoided.
-
-        The response times of one still show a queue of a moment ago.
-        """
+        """Every server at five times the work; one has had a queue."""
         flows = placed_flows.Flows(is_on=IS_ON)
         for number in range(1, 8):
             flows.beat(
@@ -104,10 +101,7 @@
         assert _seven(failing, is_on=False).place()["agent-1"] == 400
 
     def test_failures_of_all_servers_avoid_nobody(self) -> None:
-        """Something behind all servers fails: to avoid some helps nobody.
-
-        The response times of one still show a queue of a moment ago.
-        """
+        """Something behind all servers fails; one has had a queue."""
         flows = placed_flows.Flows(is_on=IS_ON)
         for number in range(1, 8):
             flows.beat(
--- a/tests/test_l4_work.py
+++ b/tests/test_l4_work.py
@@ -9,6 +9,8 @@
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import work
+from sapphirelift.platform import packets
+from sapphirelift.standins import flow_ends
 from tests import placed_flows
 
 WORK_MS = 20
@@ -35,18 +37,10 @@
         size: int = ANSWER_BYTES,
     ) -> None:
         """Lets the agent see an answer, or a reset if it has no size."""
-        received = packet.Packet(
-            packet.FlowKey(9, 40_000, route_ip, 443),
-            is_syn=False,
-            is_ack=True,
-            is_fin=False,
-            is_reset=not size,
-            is_bounced=False,
-            sequence=1,
-            acknowledged=1,
-            payload_bytes=size,
-            raw=b"",
-        )
+        flow = packet.FlowKey(9, 40_000, route_ip, 443)
+        flags = flow_ends.ACK if size else flow_ends.RST
+        data = flow_ends.from_backend(flow, flags, data=bytes(size))
+        received = packets.decode_from_backend(data)
         self.now_ms = now_ms
         if size:
             self.work.on_answer(
@@ -162,10 +156,7 @@
             assert server.works_ms()[placed_flows.STREAM] == WORK_MS
 
     def test_unanswered_request_counts_as_slow_and_failed(self) -> None:
-        """A server that hangs; callers that leave early prove nothing.
-
-        Three requests in a row are enough for balancers to avoid it.
-        """
+        """A server that hangs is avoided after three requests in a row."""
         server = _Server()
         server.serve(20)
         for _ in range(10):
@@ -184,15 +175,9 @@
     def test_heartbeats_carry_the_work_if_asked_for(self) -> None:
         """A new server beside the agent begins without figures."""
         for is_on in (IS_ON, False):
+            address = messages.Address("10.2.0.1", 7720)
             agent = agent_module.Agent(
-                agent_module.Identity(
-                    "agent-1",
-                    messages.Address("10.2.0.1", 7720),
-                    1,
-                    "shop",
-                    "a",
-                    "region",
-                ),
+                agent_module.Identity("one", address, 1, "shop", "a", "region"),
                 report_interval_ms=1000,
                 started_unix_ms=0,
                 is_first_start=True,
