--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -25,6 +25,7 @@
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
 from sapphirelift.core.l4 import terms
+from sapphirelift.core.l4 import work
 from sapphirelift.core.membership import freshness
 
 _Phase = flow_table.Phase
@@ -131,11 +132,13 @@
         self._questions = questions.Questions(self.flows)
         self._unanswered_opens = 0
         self._unresponsive_until_ms = 0
+        self._work = work.Work(self.counters, load)
         self._requests = requests.Requests(
             self.counters,
             self.samples,
             send=self._send_backend,
             log=self._log,
+            on_unanswered=self._work.on_unanswered,
             now_ms=now_ms,
         )
         self._state = agents.UNAVAILABLE
@@ -166,6 +169,7 @@
             "busy": self._active_requests,
             "waiting": self._requests.waiting,
             "response_ms": round(self._requests.response_ms, 1),
+            "work": self._work.report()._asdict(),
             "balancers": len(self.balancers),
             "has_full_table": self._has_full_table,
             "is_evacuated": self._is_evacuated,
@@ -241,6 +245,7 @@
             # returned, so that their callers hear at once.
             self._requests.release(requests.UNLIMITED, now_ms)
             self._requests.clear(now_ms)
+        self._work.reset()
         self._log(
             "backend_found",
             backend=report.backend_id,
@@ -443,7 +448,12 @@
         if received.payload_bytes and self._requests.is_answered_by(
             flow, received
         ):
+            assert flow.request_sent_ms is not None
+            self._work.on_answer(
+                received, flow.request_sent_ms, slots=self._slots, now_ms=now_ms
+            )
             self._on_response(flow, now_ms)
+        self._work.on_end(received, flow.request_sent_ms, now_ms)
         if received.is_fin or received.is_reset:
             self._requests.on_server_ended(flow, now_ms)
             self.flows.move(received.flow, flow, _Phase.ENDED)
@@ -514,6 +524,7 @@
         flow = self.flows.get(key)
         if received.is_syn:
             self.counters["opens_bounced"] += 1
+            self._work.on_returned(now_ms)
             if flow is not None and flow.phase is _Phase.OPENING:
                 self._abandon_open(key, flow, "backend_refused", now_ms)
             return
@@ -1074,6 +1085,7 @@
     def heartbeat(self, now_ms: int) -> messages.Heartbeat:
         """Returns a heartbeat with the next number and the current state."""
         self._heartbeat_number += 1
+        worked = self._work.report()
         return messages.Heartbeat(
             name=self.identity.name,
             address=self.identity.address,
@@ -1090,6 +1102,9 @@
             cold_ms=self.backend.cold_ms(now_ms),
             has_full_table=self._has_full_table,
             waiting=self._requests.waiting + len(self.flows.held()),
+            work_ms=worked.work_ms,
+            work_by_route=worked.work_by_route,
+            failed_percent=worked.failed_percent,
         )
 
     # Timers.
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -270,6 +270,12 @@
         self._rng = rng
         self._data_centre = data_centre
         self.watch = watch_module.Watch(own=address, data_centre=data_centre)
+        self._placement = placement.Placement(
+            is_by_expected_time=load.places_by_expected_time,
+            data_centre=data_centre,
+            counters=self.counters,
+            log=self._log,
+        )
         self.contact_ms = contact_ms
         # Peers that the store answers, by their own word, and when.
         self._peers_with_store: dict[messages.Address, int] = {}
@@ -496,18 +502,15 @@
             self._reset(received)
             return
         service = route.service_for(flow)
-        found = placement.eligible(
+        choice = self._placement.choose(
+            flow,
             self.agents,
-            service,
+            self.watch,
             route=route,
             evacuated=self.evacuations.data_centres,
             now_ms=now_ms,
         )
-        watched = [a for a in found if self.watch.includes(a.address)]
-        ranked = placement.rank(
-            flow, watched or found, data_centre=self._data_centre
-        )
-        ranked = self._shortages.shorten(service, ranked)
+        ranked = self._shortages.shorten(service, choice.ranked)
         if not ranked:
             if self._is_settling(now_ms):
                 self.counters["opens_dropped_settling"] += 1
@@ -526,7 +529,7 @@
         if len(self._openings) >= MAX_OPENINGS:
             self.counters["opens_dropped_table_full"] += 1
             return
-        for agent in found:
+        for agent in choice.found:
             if agent.address == former:
                 ranked = [agent, *(a for a in ranked if a is not agent)]
         opening = _Opening(
@@ -550,7 +553,7 @@
             busy=round(best.heartbeat.busy, 2),
             load_age_ms=now_ms - best.last_heard_ms,
             is_local=best.heartbeat.data_centre == self._data_centre,
-            choices=len(watched) or len(found),
+            choices=choice.compared_of,
             configuration_revision=self._configuration_store_revision,
         )
         self._send_open(opening)
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -243,6 +243,8 @@
         waiting: Number of requests and openings that wait at the agent.
         work_ms: Average time that the backend server works on a request,
             without waits; 0.0 before the first one.
+        work_by_route: Work by route, see ``work.Report``.
+        failed_percent: Share of requests that seem to have failed.
     """
 
     name: str
@@ -262,6 +264,8 @@
     unheard_ms: int = 0
     waiting: int = 0
     work_ms: float = 0.0
+    work_by_route: tuple[int, ...] = ()
+    failed_percent: int = 0
 
     def pulse(self) -> "Pulse":
         """Returns the changing part."""
@@ -278,6 +282,8 @@
             unheard_ms=self.unheard_ms,
             waiting=self.waiting,
             work_ms=self.work_ms,
+            work_by_route=self.work_by_route,
+            failed_percent=self.failed_percent,
         )
 
     def updated(self, pulse: "Pulse") -> "Heartbeat":
@@ -294,6 +300,8 @@
             unheard_ms=pulse.unheard_ms,
             waiting=pulse.waiting,
             work_ms=pulse.work_ms,
+            work_by_route=pulse.work_by_route,
+            failed_percent=pulse.failed_percent,
         )
 
 
@@ -318,6 +326,8 @@
     unheard_ms: int
     waiting: int = 0
     work_ms: float = 0.0
+    work_by_route: tuple[int, ...] = ()
+    failed_percent: int = 0
 
 
 class HeartbeatAck(NamedTuple):
--- a/sapphirelift/core/l4/requests.py
+++ b/sapphirelift/core/l4/requests.py
@@ -51,6 +51,9 @@
         *,
         send: Callable[[bytes], None],
         log: Callable[..., None],
+        on_unanswered: Callable[[int, int], None] = lambda sent_ms, now_ms: (
+            None
+        ),
         now_ms: int,
     ) -> None:
         """Creates the count.
@@ -60,12 +63,15 @@
             samples: Gets the time for which requests were held.
             send: Sends a packet to the backend server.
             log: Writes a log line of an event and its fields.
+            on_unanswered: Called for a request that gets no answer, with the
+                time when it was sent and the current time.
             now_ms: Current time.
         """
         self.active = 0
         self.response_ms = 0.0
         self._counters = counters
         self._send = send
+        self._on_unanswered = on_unanswered
         self._held = held_requests.HeldRequests(
             counters, samples, log, self._work_ms
         )
@@ -278,6 +284,7 @@
             self._counters["held_requests_caller_left"] += 1
             self.finish(flow, now_ms)
             return
+        self._on_unanswered(flow.request_sent_ms, now_ms)
         usual_ms = round(self._work_ms(flow.request_key))
         self._expire_at(flow, flow.request_sent_ms + usual_ms)
         self.expire(now_ms)
@@ -303,6 +310,8 @@
                 continue
             if not flow.has_caller_left:
                 self._counters["requests_without_answer"] += 1
+                if flow.request_sent_ms is not None:
+                    self._on_unanswered(flow.request_sent_ms, now_ms)
             self.finish(flow, now_ms)
 
     def clear(self, now_ms: int) -> None:
