Offer openings of repeatable requests to a second agent when the first is late

A few slow answers come from openings that wait for an instance that has stalled, holds the opening or has gone. A balancer now offers such an opening to a second agent, within `extra_openings_percent` of the openings that it has seen accepted, and less as the watched servers lose room. The second agent takes it only with a free slot at a warm server, and refuses with the reason `extra` otherwise, which no caller hears of. The caller's first acknowledgement decides which acceptance counts; its packets wait for the word of that agent.

--- a/sapphirelift/_packet_balancer.py
+++ b/sapphirelift/_packet_balancer.py
@@ -169,6 +169,7 @@
             "evacuations_skipped": self._evacuations_skipped,
             "watched_agents": len(self.core.watch),
             "is_sentinel": self._is_sentinel,
+            "extra_openings": self.core.extra_openings.dump(now_ms),
             "agents": {
                 agent.name: agent.heartbeat._asdict()
                 | {"heard_ms_ago": now_ms - agent.last_heard_ms}
--- a/sapphirelift/_packet_node.py
+++ b/sapphirelift/_packet_node.py
@@ -196,6 +196,7 @@
             "role": self.settings.role,
             "name": self.settings.name,
             "incarnation": self.incarnation,
+            "load": msgspec.structs.asdict(self.settings.load),
             "counters": dict(self.core.counters),
             "drops": dict(self.drops),
             "peer_datagrams_sent_by_kind": dict(self._sent_datagrams),
--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -56,8 +56,6 @@
 EXTRA_REPORTS = 4
 # Interval between two calls of ``sweep``.
 SWEEP_MS = 1000
-# Routes whose terms are remembered; a configuration has up to 1,400.
-MAX_ROUTES = 4096
 # Flows of which the backend server is asked in one tick. A socket's default
 # buffer holds about 270 small packets.
 QUESTIONS_PER_TICK = 64
@@ -134,10 +132,10 @@
         self._max_flows = 0
         self._idle_timeout_ms = 15_000
         self._heartbeat_number = 0
+        # Of the routes for which flows have been offered.
+        self._terms = terms.Known()
         # Open flows of which the backend server has yet to show that it has
         # them.
-        # Terms of the routes for which flows have been offered.
-        self._terms: dict[routes.RouteKey, terms.Terms] = {}
         self._questioned: collections.deque[packet.FlowKey] = (
             collections.deque()
         )
@@ -558,14 +556,18 @@
     ) -> None:
         """Handles an opening packet."""
         key = received.flow
-        self._note_terms(key, offer.terms)
+        self._terms.note(key, offer.terms)
         flow = self.flows.get(key)
         if flow is not None and flow.is_opened_by(received, now_ms):
             flow.balancer = offer.balancer
+            flow.add_offer(offer)
             self._send_opened(key, flow)
             if flow.phase is not _Phase.HELD:
                 self._actions.append(actions.SendBackend(offer.data))
             return
+        if offer.is_extra and not self._has_room_for_extra(offer, now_ms):
+            self._refuse_extra(key, offer.balancer)
+            return
         reason = self._refusal_reason(offer, now_ms)
         if reason:
             self._pass_on_or_refuse(key, offer, reason, 0)
@@ -587,6 +589,7 @@
             opening_data=offer.data,
             sent_ms=now_ms + wait_ms,
             held_ms=now_ms,
+            is_extra=offer.is_extra,
         )
         self._add_flow(key, flow, now_ms)
         if wait_ms or not self._has_capacity(now_ms):
@@ -594,19 +597,27 @@
         else:
             self._forward_open(key, flow, now_ms)
 
-    def _note_terms(self, key: packet.FlowKey, noted: terms.Terms) -> None:
-        """Remembers the terms of a route, for requests on its flows."""
-        if noted == terms.Terms():
-            # Passed on by an agent, or sent by an earlier release.
-            return
-        route = routes.RouteKey(key.route_ip, key.route_port)
-        if route in self._terms or len(self._terms) < MAX_ROUTES:
-            self._terms[route] = noted
+    def _has_room_for_extra(self, offer: messages.Open, now_ms: int) -> bool:
+        """Returns whether a warm backend server has a free slot right now."""
+        return (
+            not self._refusal_reason(offer, now_ms)
+            and not self.backend.cold_ms(now_ms)
+            and not self.flows.held()
+            and self._load(now_ms) < 1.0
+        )
+
+    def _refuse_extra(
+        self, key: packet.FlowKey, balancer: messages.Address
+    ) -> None:
+        self.counters["extra_opens_refused"] += 1
+        refused = messages.Refused(
+            key, self.identity.address, messages.EXTRA, 0
+        )
+        self._send(balancer, refused)
 
     def _terms_of(self, key: packet.FlowKey) -> terms.Terms:
         """Returns the terms of a flow's route, as far as they are known."""
-        route = routes.RouteKey(key.route_ip, key.route_port)
-        return self._terms.get(route, terms.Terms())
+        return self._terms.of(key)
 
     def _pass_on_if_busy(
         self, key: packet.FlowKey, offer: messages.Open, now_ms: int
@@ -771,6 +782,9 @@
     ) -> None:
         """Removes an unaccepted flow; passes its opening on or refuses it."""
         self._remove_flow(key, now_ms)
+        if flow.is_extra:
+            self._refuse_extra(key, flow.balancer)
+            return
         offer = messages.Open(
             self.identity.service,
             flow.balancer,
@@ -1078,7 +1092,7 @@
         )
         self.balancers.on_sent(address, now_ms)
         if self.balancers.is_introduced(address):
-            self._send(address, _pulse(heartbeat))
+            self._send(address, messages.pulse_of(heartbeat))
         else:
             self._send(address, heartbeat)
 
@@ -1188,21 +1202,3 @@
 
     def _log(self, event: str, **fields: object) -> None:
         self._actions.append(actions.Log(event, fields))
-
-
-def _pulse(heartbeat: messages.Heartbeat) -> messages.Pulse:
-    """Returns the changing part of a heartbeat."""
-    return messages.Pulse(
-        incarnation=heartbeat.incarnation,
-        number=heartbeat.number,
-        state=heartbeat.state,
-        slots=heartbeat.slots,
-        flows=heartbeat.flows,
-        busy_percent=round(heartbeat.busy * 100),
-        response_ms=round(heartbeat.response_ms),
-        cold_ms=heartbeat.cold_ms,
-        has_full_table=heartbeat.has_full_table,
-        unheard_ms=heartbeat.unheard_ms,
-        waiting=heartbeat.waiting,
-        work_ms=heartbeat.work_ms,
-    )
--- a/sapphirelift/core/l4/agents.py
+++ b/sapphirelift/core/l4/agents.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Iterable
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from sapphirelift.core.l4 import heartbeats
 from sapphirelift.core.l4 import messages
@@ -51,6 +52,25 @@
 MAX_AGENTS = 10_000
 
 
+class DepartedAgent(NamedTuple):
+    """An agent that has stopped together with its backend server."""
+
+    incarnation: int
+    since_ms: int
+
+
+class UnconfirmedAgent(NamedTuple):
+    """An agent known only by its address.
+
+    Attributes:
+        found_ms: When its address was found.
+        is_stopping: Whether it has announced a planned stop.
+    """
+
+    found_ms: int
+    is_stopping: bool
+
+
 @dataclasses.dataclass(slots=True)
 class KnownAgent:
     """State of one agent as known to a balancer.
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -5,18 +5,19 @@
 """
 
 import collections
-import dataclasses
 import itertools
 import random
-from typing import NamedTuple
 
 from sapphirelift.core import revisions
 from sapphirelift.core.l4 import actions
 from sapphirelift.core.l4 import agents
+from sapphirelift.core.l4 import extra_openings
 from sapphirelift.core.l4 import heartbeats
 from sapphirelift.core.l4 import load_settings
 from sapphirelift.core.l4 import lookup
 from sapphirelift.core.l4 import messages
+from sapphirelift.core.l4 import newer_replica
+from sapphirelift.core.l4 import opening as opening_module
 from sapphirelift.core.l4 import ownership
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import placement
@@ -24,15 +25,9 @@
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import samples
 from sapphirelift.core.l4 import sentinels
-from sapphirelift.core.l4 import terms as terms_module
 from sapphirelift.core.l4 import watch as watch_module
 from sapphirelift.core.membership import freshness
 
-# Time an agent has to answer an opening packet, which it does once its backend
-# server has accepted the flow. Longer than the time after which an agent passes
-# on an opening that its backend server has not answered (``agent.ACCEPT_MS``
-# and one tick), and shorter than the 200 ms after which callers retransmit it.
-OPEN_ANSWER_MS = 140
 # Size of the owner cache: five times the open flows of an entry instance at the
 # design size.
 MAX_OWNERS = 60_000
@@ -79,117 +74,6 @@
 FORGET_PEER_MS = 120_000
 
 
-@dataclasses.dataclass(slots=True)
-class _Owner:
-    """Cached owner of a flow.
-
-    Attributes:
-        address: Address of the agent that owns the flow.
-        since_ms: When the balancer learned of the owner.
-        source: What it learned it from, see ``ownership.Belief``.
-        caller_sequence: Sequence number of the opening packet, None if the
-            owner was found by a search.
-        service: Service to which the opening was assigned.
-        received_ms: When the opening packet was received.
-        initial_sequence: Initial sequence number of the backend server, None
-            if unknown.
-        alternative: A second agent whose backend server has accepted a copy
-            of the opening packet, with its initial sequence number.
-    """
-
-    address: messages.Address
-    since_ms: int
-    source: str
-    caller_sequence: int | None = None
-    service: str = ""
-    received_ms: int = 0
-    initial_sequence: int | None = None
-    alternative: tuple[messages.Address, int] | None = None
-
-    def is_opened_by(self, received: packet.Packet, now_ms: int) -> bool:
-        """Returns whether an opening packet is a copy of the flow's one."""
-        return received.repeats_opening(
-            self.caller_sequence, now_ms - self.received_ms
-        )
-
-
-@dataclasses.dataclass(slots=True)
-class _Opening:
-    """An opening packet and the agents to which it is offered.
-
-    Attributes:
-        service: Service to which the configuration in force assigned it.
-        candidates: Agents that may open the flow, best first.
-        terms: Urgency of the requests of the flow's route.
-        sent_ms: When the packet was sent to the current candidate.
-        index: Position of the current candidate.
-        held_until_ms: Until when an agent holds the packet; 0 if none does.
-    """
-
-    data: bytes
-    service: str
-    caller_sequence: int
-    candidates: list[messages.Address]
-    terms: terms_module.Terms
-    started_ms: int
-    sent_ms: int
-    index: int = 0
-    held_until_ms: int = 0
-
-    def is_opened_by(self, received: packet.Packet, now_ms: int) -> bool:
-        """Returns whether an opening packet is a copy of this one."""
-        return received.repeats_opening(
-            self.caller_sequence, now_ms - self.started_ms
-        )
-
-    def is_overdue(self, now_ms: int) -> bool:
-        """Returns whether the current candidate is late with its answer."""
-        since_ms = max(self.sent_ms, self.held_until_ms)
-        return now_ms - since_ms >= OPEN_ANSWER_MS
-
-
-class _DepartedAgent(NamedTuple):
-    """An agent that has stopped together with its backend server."""
-
-    incarnation: int
-    since_ms: int
-
-
-class _UnconfirmedAgent(NamedTuple):
-    """An agent known only by its address.
-
-    Attributes:
-        found_ms: When its address was found.
-        is_stopping: Whether it has announced a planned stop.
-    """
-
-    found_ms: int
-    is_stopping: bool
-
-
-class _NewerReplica(NamedTuple):
-    """A peer that has announced state that this balancer lacks.
-
-    Attributes:
-        since_ms: When this balancer first heard that it lacks something.
-        has_renewed: Whether it has begun its watches again since then.
-    """
-
-    address: messages.Address
-    configuration_version: int
-    configuration_revision: int
-    has_directory: bool
-    since_ms: int
-    has_renewed: bool = False
-
-    def is_older_than(self, other: "_NewerReplica") -> bool:
-        """Returns whether another peer has a newer configuration."""
-        return (self.configuration_version, self.configuration_revision) < (
-            other.configuration_version,
-            other.configuration_revision,
-        )
-
-
 class Balancer:
     """Decision logic of one balancer, without I/O.
 
@@ -200,6 +84,7 @@
         counters: Event counts by name.
         samples: Latencies for histograms: from an opening packet to its
             acceptance, and of owner searches.
+        extra_openings: Decides which openings are offered to a second agent.
         is_leaving: Whether the balancer is about to stop.
         has_directory: Whether the addresses of all daemons are known, so
             that a flow without an owner among the agents does not exist.
@@ -241,6 +126,13 @@
         self.agents = agents.Agents()
         self.counters: collections.Counter[str] = collections.Counter()
         self.samples = samples.Samples("open", "owner_search")
+        self.extra_openings = extra_openings.ExtraOpenings(
+            load.extra_openings_percent,
+            self.counters,
+            self._log,
+            address=address,
+            data_centre=data_centre,
+        )
         self.is_leaving = False
         self.has_directory = False
         self.is_store_connected = True
@@ -254,18 +146,20 @@
         self.contact_ms = contact_ms
         # Peers that the store answers, by their own word, and when.
         self._peers_with_store: dict[messages.Address, int] = {}
-        self._departed_agents: dict[messages.Address, _DepartedAgent] = {}
-        self._unconfirmed_agents: dict[messages.Address, _UnconfirmedAgent] = {}
+        self._departed_agents: dict[messages.Address, agents.DepartedAgent] = {}
+        self._unconfirmed_agents: dict[
+            messages.Address, agents.UnconfirmedAgent
+        ] = {}
         self._started_ms = now_ms
-        self._owners: collections.OrderedDict[packet.FlowKey, _Owner] = (
-            collections.OrderedDict()
-        )
-        self._openings: dict[packet.FlowKey, _Opening] = {}
+        self._owners: collections.OrderedDict[
+            packet.FlowKey, ownership.Owner
+        ] = collections.OrderedDict()
+        self._openings: dict[packet.FlowKey, opening_module.Opening] = {}
         self._lookups = lookup.Lookups(self.counters)
         self._resolver = resolver.Resolver(self.counters)
         self._silent_resolvers: dict[messages.Address, int] = {}
         self._removed_routes: dict[routes.RouteKey, int] = {}
-        self._newer_replica: _NewerReplica | None = None
+        self._newer_replica: newer_replica.NewerReplica | None = None
         self._has_agents_of_peer = False
         self._freshness = freshness.Freshness()
         self._resumed_boot_ms = -SETTLE_AFTER_PAUSE_MS
@@ -499,7 +393,7 @@
         for agent in found:
             if agent.address == former:
                 ranked = [agent, *(a for a in ranked if a is not agent)]
-        opening = _Opening(
+        opening = opening_module.Opening(
             received.raw,
             service,
             received.sequence,
@@ -524,6 +418,7 @@
             configuration_revision=self._configuration_store_revision,
         )
         self._send_open(opening)
+        self._consider_extra(flow, opening, now_ms, known=watched or found)
 
     def _is_settling(self, now_ms: int) -> bool:
         """Returns whether agents may live that count as silent here."""
@@ -533,7 +428,7 @@
             or boot_ms - self._resumed_boot_ms < SETTLE_AFTER_PAUSE_MS
         )
 
-    def _send_open(self, opening: _Opening) -> None:
+    def _send_open(self, opening: opening_module.Opening) -> None:
         address = opening.candidates[opening.index]
         agent = self.agents.get(address)
         if agent is not None:
@@ -551,12 +446,49 @@
         )
         self._actions.append(actions.SendDaemon(address, message))
 
+    def _consider_extra(
+        self,
+        flow: packet.FlowKey,
+        opening: opening_module.Opening,
+        now_ms: int,
+        *,
+        known: list[agents.KnownAgent] | None = None,
+    ) -> None:
+        """Offers an opening to a second agent if there is reason to.
+
+        Args:
+            flow: The flow.
+            opening: The opening, which has been offered to one agent.
+            now_ms: Current time.
+            known: Agents that may be given the flow, None to find them if
+                there is reason for an offer.
+        """
+        first = self.agents.get(opening.candidate)
+        extra = self.extra_openings
+        reason = extra.reason(opening, first, known or (), now_ms)
+        route = self.configuration.find(flow) if reason else None
+        if route is None or opening.service not in route.services:
+            return
+        if known is None:
+            found = placement.eligible(
+                self.agents,
+                opening.service,
+                route=route,
+                evacuated=self.evacuations.data_centres,
+                now_ms=now_ms,
+            )
+            watched = [a for a in found if self.watch.includes(a.address)]
+            known = watched or found
+        offer = extra.offer(flow, opening, known, now_ms, reason=reason)
+        if offer is not None:
+            self._actions.append(offer)
+
     def _is_warm(self, address: messages.Address) -> bool:
         agent = self.agents.get(address)
         return agent is not None and not agent.is_cold
 
     def _forward_copy_to_owner(
-        self, owner: _Owner, received: packet.Packet
+        self, owner: ownership.Owner, received: packet.Packet
     ) -> None:
         """Forwards a copy of an opening packet to the agent that accepted it.
 
@@ -569,7 +501,7 @@
         self._actions.append(actions.SendDaemon(owner.address, message))
 
     def _on_retransmitted_syn(
-        self, flow: packet.FlowKey, opening: _Opening, now_ms: int
+        self, flow: packet.FlowKey, opening: opening_module.Opening, now_ms: int
     ) -> None:
         if opening.is_overdue(now_ms):
             self._try_next_candidate(flow, opening, now_ms)
@@ -577,7 +509,7 @@
             self._send_open(opening)
 
     def _try_next_candidate(
-        self, flow: packet.FlowKey, opening: _Opening, now_ms: int
+        self, flow: packet.FlowKey, opening: opening_module.Opening, now_ms: int
     ) -> None:
         """Sends an unanswered opening packet to the next candidate."""
         silent = self.agents.get(opening.candidates[opening.index])
@@ -630,17 +562,18 @@
             self._reset(received)
             return
         owner = self._owners.get(flow)
-        lost: _Owner | None = None
+        lost: ownership.Owner | None = None
         if owner is not None and self._is_lost(owner.address, now_ms):
             lost, owner = self._owners.pop(flow), None
         if owner is not None:
             self._owners.move_to_end(flow)
-            self._resolve_alternative(owner, received)
+            owner.resolve(received)
             self._deliver_to_owner(owner.address, received, now_ms)
             return
         opening = self._openings.get(flow)
         if opening is not None:
-            self._deliver(opening.candidates[opening.index], received)
+            if not opening.keep(received, now_ms):
+                self._deliver(opening.candidate, received)
             return
         self._look_up(received, now_ms, belief=self._belief(lost))
 
@@ -652,20 +585,6 @@
             now_ms, contact_ms=self.contact_ms
         )
 
-    def _resolve_alternative(
-        self, owner: _Owner, received: packet.Packet
-    ) -> None:
-        """Determines which of two accepted openings the caller uses.
-
-        The caller acknowledges the initial sequence number of one of them.
-        """
-        if owner.alternative is None or not received.is_ack:
-            return
-        address, initial_sequence = owner.alternative
-        if received.acknowledged == (initial_sequence + 1) & 0xFFFFFFFF:
-            owner.address = address
-        owner.alternative = None
-
     def _deliver(
         self, address: messages.Address, received: packet.Packet
     ) -> None:
@@ -791,7 +710,7 @@
                 case lookup.Found(flow, address, packets, took_ms):
                     self.samples.add("owner_search", took_ms)
                     self._cache_owner(
-                        flow, _Owner(address, now_ms, ownership.FOUND)
+                        flow, ownership.Owner(address, now_ms, ownership.FOUND)
                     )
                     self._log(
                         "owner_found",
@@ -903,7 +822,7 @@
             outcome="dropped",
         )
 
-    def _belief(self, owner: _Owner | None) -> ownership.Belief | None:
+    def _belief(self, owner: ownership.Owner | None) -> ownership.Belief | None:
         if owner is None:
             return None
         return ownership.Belief(
@@ -924,7 +843,9 @@
             )
         )
 
-    def _cache_owner(self, flow: packet.FlowKey, owner: _Owner) -> None:
+    def _cache_owner(
+        self, flow: packet.FlowKey, owner: ownership.Owner
+    ) -> None:
         self._owners.pop(flow, None)
         if len(self._owners) >= MAX_OWNERS:
             self._owners.popitem(last=False)
@@ -944,8 +865,13 @@
                 self._on_opened(message, now_ms)
             case messages.Held():
                 self._on_held(message, now_ms)
+                opening = self._openings.get(message.flow)
+                if opening is not None:
+                    self.extra_openings.on_strained(opening, now_ms)
+                    self._consider_extra(message.flow, opening, now_ms)
             case messages.Refused():
-                self._on_refused(message, now_ms)
+                if not self._keep_refusal(message, now_ms):
+                    self._on_refused(message, now_ms)
             case messages.Answer():
                 self._on_heard(message.agent, now_ms)
                 self._apply_lookup_steps(
@@ -987,12 +913,17 @@
             agent.on_heard(now_ms)
             agent.flows = opened.flows
             agent.opens_since = max(agent.opens_since - 1, 0)
-        opening = self._openings.pop(flow, None)
+        opening = self._openings.get(flow)
+        if opening is not None and opening.is_denied_by_caller(opened):
+            self.counters["opened_twice"] += 1
+            return
         if opening is not None:
+            del self._openings[flow]
             self.samples.add("open", now_ms - opening.started_ms)
+            self.extra_openings.on_opened(opening, opened.agent, now_ms)
             self._cache_owner(
                 flow,
-                _Owner(
+                ownership.Owner(
                     opened.agent,
                     now_ms,
                     ownership.OPENED,
@@ -1002,6 +933,8 @@
                     opened.initial_sequence,
                 ),
             )
+            for received in opening.take_packets():
+                self._deliver_to_owner(opened.agent, received, now_ms)
             return
         owner = self._owners.get(flow)
         if owner is None or owner.address == opened.agent:
@@ -1036,6 +969,29 @@
         )
         self._actions.append(actions.ResetCaller(refused.flow, 0))
 
+    def _keep_refusal(self, refused: messages.Refused, now_ms: int) -> bool:
+        """Keeps a refusal to itself as long as another agent may accept.
+
+        Returns:
+            Whether the caller does not hear of it, at least for now.
+        """
+        opening = self._openings.get(refused.flow)
+        extra = opening.extra if opening is not None else None
+        if refused.reason == messages.EXTRA:
+            self._on_heard(refused.agent, now_ms)
+            if extra is not None and extra.agent == refused.agent:
+                self.extra_openings.on_extra_refused(opening)
+                if extra.refusal is not None:
+                    self._on_refused(extra.refusal, now_ms)
+            return True
+        if opening is None:
+            return False
+        self.extra_openings.on_strained(opening, now_ms)
+        if extra is None or extra.is_overdue(now_ms):
+            return False
+        extra.refusal = refused
+        return True
+
     def _forget_refusing_owner(self, refused: messages.Refused) -> bool:
         """Forgets an owner that has refused a copy of the opening packet.
 
@@ -1168,7 +1124,7 @@
             self.counters["heartbeats_overtaken"] += 1
             return
         self._unconfirmed_agents.pop(heartbeat.address, None)
-        self._departed_agents[heartbeat.address] = _DepartedAgent(
+        self._departed_agents[heartbeat.address] = agents.DepartedAgent(
             heartbeat.incarnation, now_ms
         )
         if known is not None:
@@ -1289,7 +1245,7 @@
         ):
             return
         if len(self._unconfirmed_agents) < agents.MAX_AGENTS:
-            self._unconfirmed_agents[address] = _UnconfirmedAgent(
+            self._unconfirmed_agents[address] = agents.UnconfirmedAgent(
                 now_ms, is_stopping
             )
             self._send_hello(address)
@@ -1338,7 +1294,7 @@
             ),
             source=sender.ip,
         )
-        newer = _NewerReplica(
+        newer = newer_replica.NewerReplica(
             announced.replica,
             announced.configuration_version,
             announced.configuration_revision,
@@ -1375,7 +1331,7 @@
             if address != announced.balancer:
                 self._actions.append(actions.SendDaemon(address, onward))
 
-    def _lacks(self, newer: _NewerReplica) -> bool:
+    def _lacks(self, newer: newer_replica.NewerReplica) -> bool:
         """Returns whether a peer has state that this balancer lacks."""
         lacks_directory = newer.has_directory and not self.has_directory
         current = self.configuration
@@ -1436,7 +1392,7 @@
         )
 
     def _has_started_with_older(
-        self, newer: _NewerReplica, now_ms: int
+        self, newer: newer_replica.NewerReplica, now_ms: int
     ) -> bool:
         """Returns whether the store had an older configuration at the start.
 
@@ -1556,14 +1512,47 @@
                     service=opening.service,
                     candidates=len(opening.candidates),
                 )
-            elif opening.is_overdue(now_ms):
-                self._try_next_candidate(flow, opening, now_ms)
+            else:
+                self._tick_opening(flow, opening, now_ms)
         self._apply_lookup_steps(now_ms, self._lookups.tick(now_ms))
         self._tick_resolver(now_ms)
         self._obtain_newer_replica(now_ms)
 
+    def _tick_opening(
+        self, flow: packet.FlowKey, opening: opening_module.Opening, now_ms: int
+    ) -> None:
+        extra = opening.extra
+        if extra is not None and flow in self._owners:
+            # A search has found the agent that the caller uses.
+            del self._openings[flow]
+        elif opening.has_waiting_packets(now_ms):
+            self._search_among_offered(opening, now_ms)
+        elif extra is not None and extra.refusal is not None:
+            if extra.is_overdue(now_ms):
+                self._on_refused(extra.refusal, now_ms)
+        elif opening.is_overdue(now_ms):
+            self._try_next_candidate(flow, opening, now_ms)
+        else:
+            self._consider_extra(flow, opening, now_ms)
+
+    def _search_among_offered(
+        self, opening: opening_module.Opening, now_ms: int
+    ) -> None:
+        """Asks which agent the caller uses; the word of it has been lost.
+
+        Without an answer the packets are dropped: they may be of an earlier
+        flow, while none of the agents has accepted the opening yet.
+        """
+        self.counters["extra_openings_searched"] += 1
+        for received in opening.take_packets():
+            steps = self._lookups.begin(
+                received, opening.offered, now_ms, knows_all_agents=False
+            )
+            self._apply_lookup_steps(now_ms, steps)
+
     def sweep(self, now_ms: int) -> None:
         """Removes expired entries; to be called every second."""
+        self.extra_openings.sweep(now_ms)
         for agent in self.agents.forget_silent(now_ms):
             self._log(
                 "agent_forgotten",
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -94,6 +94,8 @@
         is_remembered: Whether a balancer has delivered packets of the flow to
             this agent before it started.
         request_ms: When the request in progress began, None if there is none.
+        is_extra: Whether its opening was offered to this agent only besides
+            another one.
     """
 
     phase: Phase
@@ -110,6 +112,7 @@
     caller_ack: bytes = b""
     is_remembered: bool = False
     request_ms: int | None = None
+    is_extra: bool = False
 
     @property
     def is_claimed(self) -> bool:
@@ -118,6 +121,13 @@
             self.phase is Phase.PROBED and self.is_remembered
         )
 
+    def add_offer(self, offer: messages.Open) -> None:
+        """Notes another offer of the same opening."""
+        if self.is_extra and not offer.is_extra:
+            self.is_extra = False
+            if self.phase.is_opening:
+                self.others = tuple(offer.others)
+
     def can_include(self, received: packet.Packet) -> bool:
         """Returns whether a packet of the caller can belong to this flow.
 
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -120,6 +120,11 @@
     retry_after_ms: int
 
 
+# Reason of a refusal by an agent to which an opening was offered besides
+# another one: it has no free slot right now, or may not take the flow.
+EXTRA = "extra"
+
+
 class Ask(NamedTuple):
     """Asks an agent whether it owns a flow."""
 
@@ -287,6 +292,24 @@
     work_ms: float = 0.0
 
 
+def pulse_of(heartbeat: Heartbeat) -> Pulse:
+    """Returns the changing part of a heartbeat."""
+    return Pulse(
+        incarnation=heartbeat.incarnation,
+        number=heartbeat.number,
+        state=heartbeat.state,
+        slots=heartbeat.slots,
+        flows=heartbeat.flows,
+        busy_percent=round(heartbeat.busy * 100),
+        response_ms=round(heartbeat.response_ms),
+        cold_ms=heartbeat.cold_ms,
+        has_full_table=heartbeat.has_full_table,
+        unheard_ms=heartbeat.unheard_ms,
+        waiting=heartbeat.waiting,
+        work_ms=heartbeat.work_ms,
+    )
+
+
 class HeartbeatAck(NamedTuple):
     """Acknowledges a heartbeat, with the values in force for the agent.
 
--- a/sapphirelift/core/l4/ownership.py
+++ b/sapphirelift/core/l4/ownership.py
@@ -1,8 +1,10 @@
 """Beliefs about which agent owns a flow, as they are written to the log."""
 
+import dataclasses
 from typing import NamedTuple
 
 from sapphirelift.core.l4 import actions
+from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
 
 # Sources of a belief.
@@ -26,6 +28,52 @@
     source: str
 
 
+@dataclasses.dataclass(slots=True)
+class Owner:
+    """Cached owner of a flow.
+
+    Attributes:
+        address: Address of the agent that owns the flow.
+        since_ms: When the balancer learned of the owner.
+        source: What it learned it from, see ``Belief``.
+        caller_sequence: Sequence number of the opening packet, None if the
+            owner was found by a search.
+        service: Service to which the opening was assigned.
+        received_ms: When the opening packet was received.
+        initial_sequence: Initial sequence number of the backend server, None
+            if unknown.
+        alternative: A second agent whose backend server has accepted a copy
+            of the opening packet, with its initial sequence number.
+    """
+
+    address: messages.Address
+    since_ms: int
+    source: str
+    caller_sequence: int | None = None
+    service: str = ""
+    received_ms: int = 0
+    initial_sequence: int | None = None
+    alternative: tuple[messages.Address, int] | None = None
+
+    def is_opened_by(self, received: packet.Packet, now_ms: int) -> bool:
+        """Returns whether an opening packet is a copy of the flow's one."""
+        return received.repeats_opening(
+            self.caller_sequence, now_ms - self.received_ms
+        )
+
+    def resolve(self, received: packet.Packet) -> None:
+        """Determines which of two accepted openings the caller uses.
+
+        The caller acknowledges the initial sequence number of one of them.
+        """
+        if self.alternative is None or not received.is_ack:
+            return
+        address, initial_sequence = self.alternative
+        if received.acknowledged == (initial_sequence + 1) & 0xFFFFFFFF:
+            self.address = address
+        self.alternative = None
+
+
 def reset_line(
     flow: packet.FlowKey,
     *,
--- a/sapphirelift/standins/packet_network.py
+++ b/sapphirelift/standins/packet_network.py
@@ -17,6 +17,7 @@
 from sapphirelift.core.l4 import backend as backend_module
 from sapphirelift.core.l4 import balancer as balancer_module
 from sapphirelift.core.l4 import heartbeats
+from sapphirelift.core.l4 import load_settings
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import routes
@@ -121,6 +122,7 @@
             started_unix_ms=network.now_ms,
             is_first_start=is_first_start,
             now_ms=network.now_ms,
+            load=network.load,
         )
         self.report()
         for balancer in network.balancers.values():
@@ -195,6 +197,7 @@
             now_ms=network.now_ms,
             rng=network.rng,
             data_centre=data_centre,
+            load=network.load,
         )
         self._network = network
         self.core.set_configuration(
@@ -219,6 +222,7 @@
         rng: Source of all randomness in the simulation.
         now_ms: Current time of the virtual clock.
         loss: Probability that a datagram is lost.
+        load: Decisions under load of all daemons.
         has_slots: Whether backend servers run at most as many requests as
             they have slots, and shed those that exceed their queue.
         balancers: Balancers by IP address.
@@ -237,8 +241,14 @@
     """
 
     def __init__(
-        self, seed: int, *, loss: float = 0.0, has_slots: bool = False
+        self,
+        seed: int,
+        *,
+        loss: float = 0.0,
+        has_slots: bool = False,
+        load: load_settings.LoadSettings = load_settings.NONE,
     ) -> None:
+        self.load = load
         self.rng = random.Random(seed)
         self.now_ms = 1_000_000
         self.loss = loss
