Remind restarted agents of flows that their servers accepted in vain

A server that has accepted a copy of an opening keeps silent about packets of the flow whose acknowledgement does not match, as a server does that has the flow. After a restart of its agent, a search took it for the owner. The balancer that has seen both acceptances now tells the agent, which denies these flows until its table is complete.

What remains needs a restart of the balancer as well, or a word lost on the way.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -431,7 +431,8 @@
         if flow is not None and flow.phase is _Phase.PROBED:
             self._confirm_probed(received.flow, flow)
         if flow is not None and flow.phase is _Phase.RETURNED:
-            self._remove_flow(received.flow, now_ms)
+            if not received.is_syn:
+                self._remove_flow(received.flow, now_ms)
             flow = None
         if received.is_syn and received.is_ack:
             self._on_accepted(received, flow, now_ms)
@@ -922,7 +923,7 @@
             if self.flows.get(key) is not None:
                 continue
             flow = flow_table.Flow(
-                _Phase.PROBED,
+                _Phase.RETURNED if remembered.is_elsewhere else _Phase.PROBED,
                 remembered.balancer,
                 now_ms,
                 accepted_ms=now_ms,
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -916,6 +916,7 @@
         opening = self._openings.get(flow)
         if opening is not None and opening.is_denied_by_caller(opened):
             self.counters["opened_twice"] += 1
+            opening.unused = opened.agent
             return
         if opening is not None:
             del self._openings[flow]
@@ -931,6 +932,7 @@
                     opening.service,
                     opening.started_ms,
                     opened.initial_sequence,
+                    unused=opening.unused,
                 ),
             )
             for received in opening.take_packets():
@@ -1073,18 +1075,22 @@
         self._acknowledge(heartbeat, listed=listed, is_answer=True)
 
     def _remind(self, address: messages.Address) -> None:
-        """Tells an agent that has started again which flows it owned."""
-        newest = (
-            flow
-            for flow, owner in reversed(self._owners.items())
-            if owner.address == address
-        )
-        flows = tuple(itertools.islice(newest, MAX_REMEMBERED))
-        for first in range(0, len(flows), REMEMBERED_IN_MESSAGE):
-            message = messages.Remembered(
-                self._address, flows[first : first + REMEMBERED_IN_MESSAGE]
+        """Tells an agent that has started again which flows it owned.
+
+        And which ones its backend server accepted, but their callers took the
+        acceptance of another one. It may keep silent about their packets.
+        """
+        for is_elsewhere in (False, True):
+            newest = (
+                flow
+                for flow, owner in reversed(self._owners.items())
+                if address == (owner.unused if is_elsewhere else owner.address)
             )
-            self._actions.append(actions.SendDaemon(address, message))
+            flows = tuple(itertools.islice(newest, MAX_REMEMBERED))
+            for first in range(0, len(flows), REMEMBERED_IN_MESSAGE):
+                part = flows[first : first + REMEMBERED_IN_MESSAGE]
+                message = messages.Remembered(self._address, part, is_elsewhere)
+                self._actions.append(actions.SendDaemon(address, message))
 
     def on_pulse(
         self, pulse: messages.Pulse, sender: messages.Address, now_ms: int
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -91,8 +91,8 @@
             as the sequence number of a reset; 0 before the first one.
         caller_ack: Last packet of the caller that only acknowledges; empty
             before the first one.
-        is_remembered: Whether a balancer has delivered packets of the flow to
-            this agent before it started.
+        is_remembered: Whether a balancer has told what it is, after a start
+            of this agent: its own, or in the phase ``RETURNED`` another's.
         request_ms: When the request in progress began, None if there is none.
         is_extra: Whether its opening was offered to this agent only besides
             another one.
@@ -274,7 +274,9 @@
         discarded = []
         idle_ms = idle_timeout_ms + IDLE_MARGIN_MS
         for key, flow in list(self._flows.items()):
-            is_over = flow.phase in (Phase.ENDED, Phase.RETURNED)
+            is_over = flow.phase is Phase.ENDED or (
+                flow.phase is Phase.RETURNED and not flow.is_remembered
+            )
             limit_ms = ENDED_MS if is_over else idle_ms
             if now_ms - flow.used_ms > limit_ms:
                 self.remove(key)
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -192,10 +192,13 @@
 
     Attributes:
         flows: Flows whose packets the sender has delivered to it.
+        is_elsewhere: Whether they are open at other agents instead, although
+            its backend server has accepted copies of their openings.
     """
 
     balancer: Address
     flows: tuple[packet.FlowKey, ...]
+    is_elsewhere: bool = False
 
 
 class Resolve(NamedTuple):
--- a/sapphirelift/core/l4/opening.py
+++ b/sapphirelift/core/l4/opening.py
@@ -57,6 +57,8 @@
         packets: Packets of the caller, which has taken the acceptance of one
             of two agents before this balancer has heard of it.
         packets_ms: When the first of them was received.
+        unused: An agent that has accepted the flow, while the caller uses the
+            acceptance of another one.
     """
 
     data: bytes
@@ -72,6 +74,7 @@
     extra: ExtraOffer | None = None
     packets: list[packet.Packet] = dataclasses.field(default_factory=list)
     packets_ms: int = 0
+    unused: messages.Address | None = None
 
     @property
     def candidate(self) -> messages.Address:
--- a/sapphirelift/core/l4/ownership.py
+++ b/sapphirelift/core/l4/ownership.py
@@ -44,6 +44,8 @@
             if unknown.
         alternative: A second agent whose backend server has accepted a copy
             of the opening packet, with its initial sequence number.
+        unused: An agent whose backend server has accepted a copy of the
+            opening packet that the caller does not use.
     """
 
     address: messages.Address
@@ -54,6 +56,7 @@
     received_ms: int = 0
     initial_sequence: int | None = None
     alternative: tuple[messages.Address, int] | None = None
+    unused: messages.Address | None = None
 
     def is_opened_by(self, received: packet.Packet, now_ms: int) -> bool:
         """Returns whether an opening packet is a copy of the flow's one."""
@@ -68,9 +71,9 @@
         """
         if self.alternative is None or not received.is_ack:
             return
-        address, initial_sequence = self.alternative
+        self.unused, initial_sequence = self.alternative
         if received.acknowledged == (initial_sequence + 1) & 0xFFFFFFFF:
-            self.address = address
+            self.address, self.unused = self.unused, self.address
         self.alternative = None
 
 
--- a/tests/test_l4_extra_openings.py
+++ b/tests/test_l4_extra_openings.py
@@ -240,6 +240,37 @@
         assert not first.backend.holds(flow.flow)
         assert flow.flow not in first.backend.requests
 
+    def test_unused_agent_starts_again(self) -> None:
+        """Guards against a flow taken for that of the server left over.
+
+        Its server has the flow half open and keeps silent about packets of
+        it, as one that has the flow does, while the owner's agent is away.
+        """
+        world = World(balancers=2)
+        flow, first = world.stall_first(for_ms=60)
+        world.net.run(300)
+        second = world.second_of(flow)
+        assert second is not None and second.backend.holds(flow.flow)
+        flow.request()
+        world.net.run(100)
+        first.stop_agent()
+        world.net.run(100)
+        first.start_agent()
+        world.net.run(100)
+        second.stop_agent()
+        world.net.rotation.reverse()
+        received: list[bytes] = []
+        first.backend.receive = received.append  # type: ignore[method-assign]
+        flow.request()
+        world.net.run(1500)
+        assert not any(
+            packets.decode_from_caller(data).flow == flow.flow
+            for data in received
+        )
+        second.start_agent()
+        world.net.run(3000)
+        assert flow.answers == 3
+
     def test_second_dies_before_it_answers(self) -> None:
         """Guards against waiting for the second one when the first accepts."""
         world = World()
@@ -279,6 +310,7 @@
         core, now_ms = world.core, world.net.now_ms
         refused = messages.Refused(flow.flow, first.address, "overloaded", 0)
         core.on_message(refused, now_ms)
+        world.net.perform(next(iter(world.net.balancers.values())))
         world.net.run(20)
         assert world.net.resets == []
         if second_accepts:
