Check configurations and packet daemon settings with `sapphirelift validate`

A wrong configuration was found only once it was in force. The tool reads it entry by entry and reports what daemons would refuse, entries that can never match, limits that contradict each other, and what differs from another file or the version in the store.

--- a/sapphirelift/deployment.py
+++ b/sapphirelift/deployment.py
@@ -87,6 +87,11 @@
     return messages.Address(str(ipaddress.IPv4Address(ip)), int(port))
 
 
+def is_settings(value: object) -> bool:
+    """Returns whether JSON is meant to be settings of a packet daemon."""
+    return isinstance(value, dict) and {"role", "packets"} <= value.keys()
+
+
 def load(path: str) -> Deployment:
     """Reads and validates a settings file.
 
--- a/sapphirelift/operators/cli.py
+++ b/sapphirelift/operators/cli.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from typing import Any
 
 import fire
 import fire.core
@@ -9,6 +10,7 @@
 from sapphirelift import credentials
 from sapphirelift import errors
 from sapphirelift.operators import commands
+from sapphirelift.operators import configuration_check
 from sapphirelift.operators import key_commands
 from sapphirelift.operators import output as output_module
 from sapphirelift.platform import client
@@ -43,6 +45,10 @@
 
         return demo.main()
     output = _take_option(arguments, "output", "table")
+    if "--json" in arguments:
+        arguments.remove("--json")
+        output = "json"
+    statuses = [0]
     default = os.environ.get(PLATFORM_VARIABLE, DEFAULT_PLATFORM)
     url = _take_option(arguments, "platform", default)
     credential_files = credentials.PlatformCredentials(
@@ -53,6 +59,16 @@
     )
     for problem in credentials.problems(url, credential_files):
         return _fail(problem, INPUT_STATUS)
+
+    def serialize(value: Any) -> Any:
+        if value is None or isinstance(
+            value, commands.Commands | key_commands.KeyCommands
+        ):
+            return value
+        if isinstance(value, configuration_check.Report):
+            statuses.append(value.exit_status)
+        return output_module.render(value, output=output)
+
     try:
         fire.Fire(
             commands.Commands(
@@ -60,14 +76,7 @@
             ),
             command=arguments,
             name="sapphirelift",
-            serialize=lambda value: (
-                value
-                if value is None
-                or isinstance(
-                    value, commands.Commands | key_commands.KeyCommands
-                )
-                else output_module.render(value, output=output)
-            ),
+            serialize=serialize,
         )
     except errors.ConflictError as error:
         return _fail(error, CONFLICT_STATUS)
@@ -81,7 +90,7 @@
         return error.code
     except KeyboardInterrupt:
         return REFUSED_STATUS
-    return 0
+    return max(statuses)
 
 
 def _run_bench(arguments: list[str]) -> int:
--- a/sapphirelift/operators/commands.py
+++ b/sapphirelift/operators/commands.py
@@ -10,17 +10,24 @@
 from collections.abc import Sequence
 from typing import Any
 
+import msgspec
+
 import sapphirelift
+from sapphirelift import deployment
 from sapphirelift import errors
 from sapphirelift import messages
+from sapphirelift.core.l4 import configuration_entries
 from sapphirelift.core.records import fields
 from sapphirelift.core.records import records
 from sapphirelift.core.records import replica
 from sapphirelift.core.requests import outcomes
+from sapphirelift.operators import configuration_check
 from sapphirelift.operators import key_commands
 from sapphirelift.operators import record_store
 from sapphirelift.operators import status as status_module
 from sapphirelift.platform import client
+from sapphirelift.platform import configuration
+from sapphirelift.platform import decoding
 
 WATCH_WAIT_MS = 2000
 ADMIN_TIMEOUT_S = 5.0
@@ -105,15 +112,85 @@
             if before.get(name) != after.get(name)
         ]
 
-    def validate(self, file: str) -> Any:
-        """Validates the records of a file without contacting the platform."""
+    def validate(
+        self,
+        file: str,
+        against: str | int = "",
+        strict: bool = False,
+        regions: str | Sequence[str] = "",
+        flow_lifetime_s: float = 0.0,
+    ) -> Any:
+        """Validates records, a configuration or settings of a packet daemon.
+
+        The platform is not contacted, unless --against is a number: then a
+        configuration is compared with the one in force, which must have that
+        version. --against=FILE compares it with another file. --strict makes
+        warnings count for the exit status (1; errors: 2). What a configuration
+        does not say can be given: --regions=A,B that have data centres, and
+        --flow_lifetime_s.
+        """
+        document = _read_document(file)
+        if configuration.is_configuration(document):
+            known = configuration_check.Surroundings(
+                frozenset(_names(regions)), _number(flow_lifetime_s)
+            )
+            return self._check_configuration(document, against, strict, known)
+        if deployment.is_settings(document):
+            return _settings_row(document)
         rows = []
-        for value in _read_records(file):
+        for value in _as_records(document):
             record = record_store.unwrap(records.parse(value))
             key = records.key_of(record.kind, record.name)
             rows.append({"record": key, "valid": True})
         return rows
 
+    def _check_configuration(
+        self,
+        document: Any,
+        against: str | int,
+        strict: bool,
+        known: configuration_check.Surroundings,
+    ) -> configuration_check.Report:
+        checked = configuration.read_entries(document)
+        problems = configuration_check.problems(checked, known)
+        differences = None
+        if against != "":
+            other = self._read_other(against)
+            problems += configuration_check.version_problems(checked, other)
+            differences = configuration_check.differences(checked, other)
+        return configuration_check.Report(
+            checked.version, problems, differences, is_strict=strict
+        )
+
+    def _read_other(self, against: str | int) -> configuration_entries.Entries:
+        """Reads the configuration to compare with.
+
+        Raises:
+            InputError: It is none, or not of the version asked for.
+            PlatformUnavailableError: The store has not answered.
+        """
+        if isinstance(against, int):
+            kind = configuration.CONFIGURATION_KIND
+            found = {
+                item.name: item.value
+                for item in self._platform.store.list_kind(kind).objects
+            }
+            document = found.get(configuration.CONFIGURATION_NAME)
+        else:
+            document = _read_document(against)
+        if not configuration.is_configuration(document):
+            raise errors.InputError(
+                f"{against} is not a configuration",
+                remedy="name a file with one, or the version in force",
+            )
+        other = configuration.read_entries(document)
+        if isinstance(against, int) and other.version != against:
+            raise errors.InputError(
+                f"version {other.version} is in force, not {against}",
+                remedy="compare with that one, or with a file",
+            )
+        return other
+
     def effective(self, service: str, data_centre: str) -> Any:
         """Shows the settings in force for a service and their sources."""
         record_set, _ = self._store.load()
@@ -236,22 +313,70 @@
 
 
 def _read_records(file: str) -> Sequence[dict[str, Any]]:
+    return _as_records(_read_document(file))
+
+
+def _as_records(document: Any) -> Sequence[dict[str, Any]]:
+    return document if isinstance(document, list) else [document]
+
+
+def _read_document(file: str) -> Any:
+    """Reads a JSON file, or stdin for "-".
+
+    Raises:
+        InputError: It cannot be read, is not JSON, or nobody could send it on.
+    """
     try:
         if file == "-":
-            text = sys.stdin.read()
+            data = sys.stdin.buffer.read()
         else:
-            text = pathlib.Path(file).read_text()
-        value = json.loads(text)
+            data = pathlib.Path(str(file)).read_bytes()
+        document = decoding.decode(data, object)
+        decoding.check_bounds(document)
     except OSError as error:
         raise errors.InputError(
             f"cannot read {file}: {error.strerror}",
             remedy="name a readable file",
         ) from error
-    except ValueError as error:
+    except (errors.UnreadableError, ValueError) as error:
+        reason = str(error).removeprefix("unreadable: ").partition("; ")[0]
         raise errors.InputError(
-            f"{file} is not JSON: {error}", remedy="correct the file"
+            f"{file} is not JSON: {reason}", remedy="correct the file"
         ) from error
-    return value if isinstance(value, list) else [value]
+    return document
+
+
+def _names(value: Any) -> Sequence[str]:
+    """Returns the names of A,B, which Fire may have split into a list."""
+    parts = value if isinstance(value, list | tuple) else str(value).split(",")
+    return [str(part) for part in parts if str(part)]
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise errors.InputError(
+            f"{value!r} is not a number", remedy="give a number of seconds"
+        )
+    return float(value)
+
+
+def _settings_row(document: Any) -> dict[str, Any]:
+    """Returns what the settings of a packet daemon ask for.
+
+    Raises:
+        InputError: A field is missing, unknown or wrong.
+    """
+    try:
+        settings = deployment.parse(msgspec.json.encode(document))
+    except errors.SettingsError as error:
+        message, _, remedy = str(error).rpartition("; ")
+        raise errors.InputError(message, remedy=remedy) from error
+    return {
+        "settings": settings.name,
+        "role": settings.role,
+        "valid": True,
+        "load": msgspec.structs.asdict(settings.load),
+    }
 
 
 def _masked(value: Any) -> Any:
--- a/sapphirelift/platform/configuration.py
+++ b/sapphirelift/platform/configuration.py
@@ -1,11 +1,14 @@
 """Decoder of the operators' configuration; names of their store objects."""
 
+from collections.abc import Callable
 from typing import Annotated
 from typing import Any
+from typing import TypeVar
 
 import msgspec
 
 from sapphirelift import errors
+from sapphirelift.core.l4 import configuration_entries as entries_module
 from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import terms
 from sapphirelift.platform import decoding
@@ -74,6 +77,10 @@
     limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
 
 
+_FIELDS = frozenset(_Body.__struct_encode_fields__) - {"Limits"}
+_T = TypeVar("_T")
+
+
 def decode(value: Any, revision: int) -> routes.Configuration:
     """Decodes a configuration.
 
@@ -94,12 +101,7 @@
         revision=revision,
         version=body.version,
         routes=dict(decoded_routes),
-        services={
-            service.name: routes.Service(
-                service.name, service.max_connections, service.warmup_per_s
-            )
-            for service in body.services
-        },
+        services={service.name: _service(service) for service in body.services},
         idle_timeout_ms=int(body.limits.idle_timeout_ms),
     )
 
@@ -114,6 +116,93 @@
     return version if isinstance(version, int) else 0
 
 
+def is_configuration(value: Any) -> bool:
+    """Returns whether JSON is meant to be a configuration.
+
+    >>> is_configuration({"Version": 1}), is_configuration({"kind": "service"})
+    (True, False)
+    """
+    return isinstance(value, dict) and bool(_FIELDS & value.keys())
+
+
+def read_entries(value: Any) -> entries_module.Entries:
+    """Reads a configuration entry by entry, with all that is wrong in it.
+
+    Args:
+        value: A configuration, as it is sent to the store.
+    """
+    problems: list[entries_module.Problem] = []
+
+    def read(place: str, part: Any, kind: Callable[[Any], _T]) -> _T | None:
+        try:
+            return kind(part)
+        except (errors.UnreadableError, ValueError, OSError) as error:
+            problems.append(_problem(place, error))
+            return None
+
+    def read_list(name: str, kind: Callable[[Any], _T]) -> list[tuple[str, _T]]:
+        parts = value.get(name, [])
+        if not isinstance(parts, list):
+            problems.append(_problem(name, ValueError("Expected an array")))
+            return []
+        found = [
+            (f"{name}[{number}]", read(f"{name}[{number}]", part, kind))
+            for number, part in enumerate(parts)
+        ]
+        return [(place, entry) for place, entry in found if entry is not None]
+
+    version = read("Version", value, _read_version)
+    found_routes = read_list(
+        "Routes", lambda part: _route(decoding.convert(part, _Route))
+    )
+    found_services = read_list(
+        "Services", lambda part: _service(decoding.convert(part, _Service))
+    )
+    limits = read(
+        "Limits",
+        value.get("Limits", {}),
+        lambda part: decoding.convert(part, _Limits),
+    )
+    return entries_module.Entries(
+        version or 0,
+        tuple(
+            entries_module.RouteEntry(place, *found)
+            for place, found in found_routes
+        ),
+        tuple(
+            entries_module.ServiceEntry(place, found)
+            for place, found in found_services
+        ),
+        int(limits.idle_timeout_ms) if limits is not None else 0,
+        tuple(problems),
+    )
+
+
+def _read_version(value: dict[str, Any]) -> int:
+    if "Version" not in value:
+        raise ValueError("it is missing")
+    version: int = decoding.convert(value["Version"], int)
+    return version
+
+
+def _problem(place: str, error: Exception) -> entries_module.Problem:
+    """Returns what is wrong with an entry that cannot be read."""
+    message = str(error).removeprefix("unreadable: ").partition("; ")[0]
+    message, _, path = message.partition(" - at `$")
+    return entries_module.Problem(
+        place + path.rstrip("`"),
+        message,
+        "write it as the platform's page says",
+        is_error=True,
+    )
+
+
+def _service(service: _Service) -> routes.Service:
+    return routes.Service(
+        service.name, service.max_connections, service.warmup_per_s
+    )
+
+
 def _route(route: _Route) -> tuple[routes.RouteKey, routes.Route]:
     key = routes.RouteKey(
         packets.ip_number(route.host), int(route.path_prefix.strip("/"))
