--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -14,6 +14,7 @@
 from sapphirelift.core.l4 import departure
 from sapphirelift.core.l4 import flow_table
 from sapphirelift.core.l4 import heartbeats
+from sapphirelift.core.l4 import known_terms
 from sapphirelift.core.l4 import load_settings
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import ownership
@@ -127,13 +128,12 @@
         self._is_leaving = False
         # Names its own data centre at most.
         self._evacuations = routes.Evacuations()
+        self._known_terms = known_terms.KnownTerms()
         # Version and revision; the other values are kept where they are used.
         self._configuration = routes.Configuration()
         self._max_flows = 0
         self._idle_timeout_ms = 15_000
         self._heartbeat_number = 0
-        # Of the routes for which flows have been offered.
-        self._terms = terms.Known()
         # Open flows of which the backend server has yet to show that it has
         # them.
         self._questioned: collections.deque[packet.FlowKey] = (
@@ -557,7 +557,7 @@
     ) -> None:
         """Handles an opening packet."""
         key = received.flow
-        self._terms.note(key, offer.terms)
+        self._known_terms.note(key, offer.terms)
         flow = self.flows.get(key)
         if flow is not None and flow.is_opened_by(received, now_ms):
             flow.balancer = offer.balancer
@@ -604,7 +604,8 @@
             not self._refusal_reason(offer, now_ms)
             and not self.backend.cold_ms(now_ms)
             and not self.flows.held()
-            and self._load(now_ms) < 1.0
+            and self._active_requests + self.flows.expected_requests(now_ms)
+            < self._slots
         )
 
     def _refuse_extra(
@@ -618,7 +619,7 @@
 
     def _terms_of(self, key: packet.FlowKey) -> terms.Terms:
         """Returns the terms of a flow's route, as far as they are known."""
-        return self._terms.of(key)
+        return self._known_terms.of(key)
 
     def _pass_on_if_busy(
         self, key: packet.FlowKey, offer: messages.Open, now_ms: int
@@ -1093,7 +1094,7 @@
         )
         self.balancers.on_sent(address, now_ms)
         if self.balancers.is_introduced(address):
-            self._send(address, messages.pulse_of(heartbeat))
+            self._send(address, heartbeat.pulse())
         else:
             self._send(address, heartbeat)
 
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -1102,22 +1102,7 @@
             if sender not in self._departed_agents:
                 self._send_hello(sender)
             return
-        self._on_heartbeat(
-            known.heartbeat._replace(
-                number=pulse.number,
-                state=pulse.state,
-                slots=pulse.slots,
-                flows=pulse.flows,
-                busy=pulse.busy_percent / 100,
-                response_ms=float(pulse.response_ms),
-                cold_ms=pulse.cold_ms,
-                has_full_table=pulse.has_full_table,
-                unheard_ms=pulse.unheard_ms,
-                waiting=pulse.waiting,
-                work_ms=pulse.work_ms,
-            ),
-            now_ms,
-        )
+        self._on_heartbeat(known.heartbeat.updated(pulse), now_ms)
 
     def _on_gone(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
         """Removes an agent that stops together with its backend server."""
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -271,6 +271,39 @@
     waiting: int = 0
     work_ms: float = 0.0
 
+    def pulse(self) -> "Pulse":
+        """Returns the changing part."""
+        return Pulse(
+            incarnation=self.incarnation,
+            number=self.number,
+            state=self.state,
+            slots=self.slots,
+            flows=self.flows,
+            busy_percent=round(self.busy * 100),
+            response_ms=round(self.response_ms),
+            cold_ms=self.cold_ms,
+            has_full_table=self.has_full_table,
+            unheard_ms=self.unheard_ms,
+            waiting=self.waiting,
+            work_ms=self.work_ms,
+        )
+
+    def updated(self, pulse: "Pulse") -> "Heartbeat":
+        """Returns the heartbeat with a newer changing part."""
+        return self._replace(
+            number=pulse.number,
+            state=pulse.state,
+            slots=pulse.slots,
+            flows=pulse.flows,
+            busy=pulse.busy_percent / 100,
+            response_ms=float(pulse.response_ms),
+            cold_ms=pulse.cold_ms,
+            has_full_table=pulse.has_full_table,
+            unheard_ms=pulse.unheard_ms,
+            waiting=pulse.waiting,
+            work_ms=pulse.work_ms,
+        )
+
 
 class Pulse(NamedTuple):
     """Changing part of a heartbeat, for balancers that know the rest.
@@ -295,24 +328,6 @@
     work_ms: float = 0.0
 
 
-def pulse_of(heartbeat: Heartbeat) -> Pulse:
-    """Returns the changing part of a heartbeat."""
-    return Pulse(
-        incarnation=heartbeat.incarnation,
-        number=heartbeat.number,
-        state=heartbeat.state,
-        slots=heartbeat.slots,
-        flows=heartbeat.flows,
-        busy_percent=round(heartbeat.busy * 100),
-        response_ms=round(heartbeat.response_ms),
-        cold_ms=heartbeat.cold_ms,
-        has_full_table=heartbeat.has_full_table,
-        unheard_ms=heartbeat.unheard_ms,
-        waiting=heartbeat.waiting,
-        work_ms=heartbeat.work_ms,
-    )
-
-
 class HeartbeatAck(NamedTuple):
     """Acknowledges a heartbeat, with the values in force for the agent.
 
--- a/tests/test_l4_extra_openings.py
+++ b/tests/test_l4_extra_openings.py
@@ -408,7 +408,9 @@
         """Guards against an extra offer that waits before a server."""
         world = World(hosts=2, slots=1)
         host = next(iter(world.net.agents.values()))
-        host.agent._active_requests = 1
+        host.agent.flows.expected_requests = (  # type: ignore[method-assign]
+            lambda now_ms: 1
+        )
         syn = packets.decode_from_caller(
             flow_ends.from_caller(
                 world.net.open_flow().flow, flow_ends.SYN, sequence=9
--- a/tests/test_l4_failures.py
+++ b/tests/test_l4_failures.py
@@ -345,7 +345,7 @@
         found = sent(core)
         found += [
             host.agent.heartbeat(net.now_ms),
-            messages.pulse_of(host.agent.heartbeat(net.now_ms)),
+            host.agent.heartbeat(net.now_ms).pulse(),
             messages.Open("shop", PEER, (address,), True, syn(1).raw),
             messages.Deliver(PEER, syn(1).raw),
             messages.Opened(flow, address, 1, 1),
