--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -467,7 +467,7 @@
         extra = self.extra_openings
         reason = extra.reason(opening, first, known or (), now_ms)
         route = self.configuration.find(flow) if reason else None
-        if route is None or opening.service not in route.services:
+        if route is None or not opening.may_be_repeated_on(route):
             return
         if known is None:
             found = placement.eligible(
--- a/sapphirelift/core/l4/opening.py
+++ b/sapphirelift/core/l4/opening.py
@@ -4,6 +4,7 @@
 
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import packet
+from sapphirelift.core.l4 import routes
 from sapphirelift.core.l4 import terms as terms_module
 
 # Time an agent has to answer an opening packet, which it does once its backend
@@ -93,6 +94,10 @@
             self.caller_sequence, now_ms - self.started_ms
         )
 
+    def may_be_repeated_on(self, route: routes.Route) -> bool:
+        """Returns whether its route, as it is now, allows another offer."""
+        return route.terms.is_repeatable and self.service in route.services
+
     def is_overdue(self, now_ms: int) -> bool:
         """Returns whether the current candidate is late with its answer."""
         since_ms = max(self.sent_ms, self.held_until_ms)
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -11,6 +11,7 @@
 from sapphirelift import errors
 from sapphirelift.operators import cli
 from sapphirelift.platform import configuration
+from sapphirelift.platform import store
 from tests import test_odd_items
 
 VALID: dict[str, Any] = {
@@ -222,6 +223,29 @@
         assert report["differences"] == []
         assert [row["place"] for row in report["warnings"]] == ["Version"]
 
+    @pytest.mark.parametrize(("version", "status"), [(3, 0), (2, 2)])
+    def test_version_in_force(
+        self,
+        tool: Tool,
+        monkeypatch: pytest.MonkeyPatch,
+        version: int,
+        status: int,
+    ) -> None:
+        """Guards against a comparison with another version than meant."""
+        listing = store.Listing(9, [store.Object("main", 7, VALID)])
+        monkeypatch.setattr(
+            store.Store, "list_kind", lambda self, kind: listing
+        )
+        document = changed("Services/0/WarmupPerS", 6) | {"Version": 4}
+        found, output, problem = tool.run(
+            document, "--json", f"--against={version}"
+        )
+        assert found == status
+        if status:
+            assert "version 3 is in force" in problem
+        else:
+            assert len(json.loads(output)["differences"]) == 1
+
     def test_other_is_none(self, tool: Tool) -> None:
         """Guards against a comparison with something else."""
         other = tool.file([], "other.json")
--- a/tests/test_l4_extra_openings.py
+++ b/tests/test_l4_extra_openings.py
@@ -365,6 +365,17 @@
             name.startswith("extra_openings") for name in world.core.counters
         )
 
+    def test_route_changed_meanwhile(self) -> None:
+        """Guards against offers by a configuration no longer in force."""
+        world = World()
+        flow, _ = world.stall_first(for_ms=100)
+        world.net.set_configuration(
+            configuration(2, flow_terms=terms.Terms(priority=0))
+        )
+        world.net.run(130)
+        assert flow.state == "open"
+        assert world.count("offered") == 0
+
     def test_switched_off(self) -> None:
         """Guards against extra offers that nobody has asked for."""
         world = World(percent=0.0)
