--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -429,7 +429,8 @@
         if flow is not None and flow.phase is _Phase.PROBED:
             self._confirm_probed(received.flow, flow)
         if flow is not None and flow.phase is _Phase.RETURNED:
-            self._remove_flow(received.flow, now_ms)
+            if not received.is_syn:
+                self._remove_flow(received.flow, now_ms)
             flow = None
         if received.is_syn and received.is_ack:
             self._on_accepted(received, flow, now_ms)
@@ -567,10 +568,14 @@
         flow = self.flows.get(key)
         if flow is not None and flow.is_opened_by(received, now_ms):
             flow.balancer = offer.balancer
+            flow.add_offer(offer)
             self._send_opened(key, flow)
             if flow.phase is not _Phase.HELD:
                 self._actions.append(actions.SendBackend(offer.data))
             return
+        if offer.is_extra and not self._has_room_for_extra(offer, now_ms):
+            self._refuse_extra(key, offer.balancer)
+            return
         reason = self._refusal_reason(offer, now_ms)
         if reason:
             self._pass_on_or_refuse(key, offer, reason, 0)
@@ -603,6 +608,7 @@
             opening_data=offer.data,
             sent_ms=now_ms + wait_ms,
             held_ms=now_ms,
+            is_extra=offer.is_extra,
         )
         self._add_flow(key, flow, now_ms)
         if wait_ms or self._room(now_ms).free <= 0:
@@ -610,6 +616,25 @@
         else:
             self._forward_open(key, flow, now_ms)
 
+    def _has_room_for_extra(self, offer: messages.Open, now_ms: int) -> bool:
+        """Returns whether a warm backend server has a free slot right now."""
+        return (
+            not self._refusal_reason(offer, now_ms)
+            and not self.backend.cold_ms(now_ms)
+            and not self.flows.held()
+            and self._active_requests + self.flows.expected_requests(now_ms)
+            < self._slots
+        )
+
+    def _refuse_extra(
+        self, key: packet.FlowKey, balancer: messages.Address
+    ) -> None:
+        self.counters["extra_opens_refused"] += 1
+        refused = messages.Refused(
+            key, self.identity.address, messages.EXTRA, 0
+        )
+        self._send(balancer, refused)
+
     def _terms_of(self, key: packet.FlowKey) -> terms.Terms:
         """Returns the terms of a flow's route, as far as they are known."""
         return self._known_terms.of(key)
@@ -776,6 +801,9 @@
     ) -> None:
         """Removes an unaccepted flow; passes its opening on or refuses it."""
         self._remove_flow(key, now_ms)
+        if flow.is_extra:
+            self._refuse_extra(key, flow.balancer)
+            return
         offer = messages.Open(
             self.identity.service,
             flow.balancer,
@@ -932,7 +960,7 @@
             if self.flows.get(key) is not None:
                 continue
             flow = flow_table.Flow(
-                _Phase.PROBED,
+                _Phase.RETURNED if remembered.is_elsewhere else _Phase.PROBED,
                 remembered.balancer,
                 now_ms,
                 accepted_ms=now_ms,
--- a/sapphirelift/core/l4/agents.py
+++ b/sapphirelift/core/l4/agents.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Iterable
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from sapphirelift.core.l4 import heartbeats
 from sapphirelift.core.l4 import messages
@@ -30,10 +31,9 @@
 # give up on requests after 1.2 s or more, so waiting longer has no benefit.
 LOST_AFTER_MS = 2500
 LOST_AFTER_HELLO_MS = 2000
-# One that has never been heard counts as lost if it has also not answered this
-# many hellos: four lost ones in a row happen on a link that loses one datagram
-# in six.
-LOST_AFTER_HELLOS = 5
+# One that has never been heard must not have answered this many hellos either:
+# a few lost ones in a row happen on a link that loses one datagram in six.
+LOST_AFTER_HELLOS = 4
 # An agent that stops by plan is back within this time: the platform gives its
 # process 6 s to exit, and the next one starts in less than 4 s.
 RESTART_MS = 10_000
@@ -55,6 +55,34 @@
 MAX_AGENTS = 10_000
 
 
+class DepartedAgent(NamedTuple):
+    """An agent that has stopped together with its backend server."""
+
+    incarnation: int
+    since_ms: int
+
+
+class UnconfirmedAgent(NamedTuple):
+    """An agent known only by its address.
+
+    Attributes:
+        found_ms: When its address was found.
+        is_stopping: Whether it has announced a planned stop.
+        hellos: Number of hellos that it has been sent.
+    """
+
+    found_ms: int
+    is_stopping: bool
+    hellos: int = 0
+
+    def may_own(self, now_ms: int, *, contact_ms: int) -> bool:
+        """Returns whether it may own flows: it may live, or start again."""
+        waited_ms = now_ms - self.found_ms
+        if self.is_stopping:
+            return waited_ms <= restart_timeout_ms(contact_ms)
+        return waited_ms <= LOST_AFTER_MS or self.hellos < LOST_AFTER_HELLOS
+
+
 @dataclasses.dataclass(slots=True)
 class KnownAgent:
     """State of one agent as known to a balancer.
@@ -72,6 +100,8 @@
             was last heard; None if it has not been asked.
         used_ms: When a packet was last forwarded to it; 0 if none has been.
         interval_ms: Interval at which it has been asked for heartbeats.
+        questioned_ms: When it was first asked about a flow since it was last
+            heard; None if it has not been.
     """
 
     heartbeat: messages.Heartbeat
@@ -83,6 +113,7 @@
     asked_ms: int | None = None
     used_ms: int = 0
     interval_ms: int = heartbeats.MIN_INTERVAL_MS
+    questioned_ms: int | None = None
 
     @property
     def name(self) -> str:
@@ -115,7 +146,10 @@
         )
 
     def is_late(self, now_ms: int) -> bool:
-        """Returns whether a heartbeat is overdue."""
+        """Returns whether a heartbeat or an answer is overdue."""
+        questioned_ms = self.questioned_ms
+        if questioned_ms is not None and now_ms - questioned_ms > LATE_MS:
+            return True
         limit_ms = LATE_INTERVALS * self.interval_ms + LATE_MS
         return now_ms - self.last_heard_ms > limit_ms
 
@@ -129,11 +163,17 @@
         if self.asked_ms is None:
             self.asked_ms = now_ms
 
+    def on_questioned(self, now_ms: int) -> None:
+        """Records a question about a flow; without an answer it is late."""
+        if self.questioned_ms is None:
+            self.questioned_ms = now_ms
+
     def on_heard(self, now_ms: int) -> None:
         """Records a sign of life."""
         self.last_heard_ms = now_ms
         self.unanswered_ms = None
         self.asked_ms = None
+        self.questioned_ms = None
 
     def hears_balancer(self) -> bool:
         """Returns whether packets of the balancer reach the agent."""
--- a/sapphirelift/core/l4/flow_table.py
+++ b/sapphirelift/core/l4/flow_table.py
@@ -91,8 +91,8 @@
             as the sequence number of a reset; 0 before the first one.
         caller_ack: Last packet of the caller that only acknowledges; empty
             before the first one.
-        is_remembered: Whether a balancer has delivered packets of the flow to
-            this agent before it started.
+        is_remembered: Whether a balancer has told what it is, after a start
+            of this agent: its own, or in the phase ``RETURNED`` another's.
         caller_end: Sequence number after the last byte seen of the caller's
             payload; None before the first one.
         server_end: The same of the backend server's payload.
@@ -102,6 +102,8 @@
         request_key: The key of the flow, if it has had a request.
         has_caller_left: Whether its caller no longer waits for the answer.
         is_given_up: Whether the caller has left before its request was sent.
+        is_extra: Whether its opening was offered to this agent only besides
+            another one.
     """
 
     phase: Phase
@@ -124,6 +126,7 @@
     request_key: packet.FlowKey | None = None
     has_caller_left: bool = False
     is_given_up: bool = False
+    is_extra: bool = False
 
     @property
     def is_claimed(self) -> bool:
@@ -140,6 +143,13 @@
         """
         return self.is_claimed or self.phase is Phase.OPENING
 
+    def add_offer(self, offer: messages.Open) -> None:
+        """Notes another offer of the same opening."""
+        if self.is_extra and not offer.is_extra:
+            self.is_extra = False
+            if self.phase.is_opening:
+                self.others = tuple(offer.others)
+
     def can_include(self, received: packet.Packet) -> bool:
         """Returns whether a packet of the caller can belong to this flow.
 
@@ -286,7 +296,9 @@
         discarded = []
         idle_ms = idle_timeout_ms + IDLE_MARGIN_MS
         for key, flow in list(self._flows.items()):
-            is_over = flow.phase in (Phase.ENDED, Phase.RETURNED)
+            is_over = flow.phase is Phase.ENDED or (
+                flow.phase is Phase.RETURNED and not flow.is_remembered
+            )
             limit_ms = ENDED_MS if is_over else idle_ms
             if now_ms - flow.used_ms > limit_ms:
                 self.remove(key)
--- a/sapphirelift/core/l4/messages.py
+++ b/sapphirelift/core/l4/messages.py
@@ -120,6 +120,11 @@
     retry_after_ms: int
 
 
+# Reason of a refusal by an agent to which an opening was offered besides
+# another one: it has no free slot right now, or may not take the flow.
+EXTRA = "extra"
+
+
 class Ask(NamedTuple):
     """Asks an agent whether it owns a flow."""
 
@@ -187,10 +192,13 @@
 
     Attributes:
         flows: Flows whose packets the sender has delivered to it.
+        is_elsewhere: Whether they are open at other agents instead, although
+            its backend server has accepted copies of their openings.
     """
 
     balancer: Address
     flows: tuple[packet.FlowKey, ...]
+    is_elsewhere: bool = False
 
 
 class Resolve(NamedTuple):
--- a/tests/test_l4_unproven.py
+++ b/tests/test_l4_unproven.py
@@ -127,3 +127,25 @@
         net.run(4000)
         assert net.resets == []
         assert {flow.state for flow in flows} == {"open"}
+
+
+class TestQuestions:
+    """Questions about flows that an agent leaves unanswered."""
+
+    # Guards against an agent that has died right after its start, and that is
+    # asked about each lost flow for the 16 s in which its rare heartbeats are
+    # not missed.
+    def test_unanswered_question_makes_an_agent_late(self) -> None:
+        """It is then asked for a heartbeat, and counts as lost without one."""
+        net = packet_network.Network(seed=4)
+        balancer = net.add_balancer().core
+        host = net.add_agent()
+        net.run(1000)
+        agent = balancer.agents.get(host.address)
+        assert agent is not None
+        agent.interval_ms = 5000
+        agent.on_questioned(net.now_ms)
+        assert not agent.is_late(net.now_ms + agents.LATE_MS)
+        assert agent.is_late(net.now_ms + agents.LATE_MS + 1)
+        agent.on_heard(net.now_ms)
+        assert not agent.is_late(net.now_ms + agents.LATE_MS + 1)
