Run the tests with workers, and give each process its own ports

Cause: make test ran one test after the other, most of them waiting for processes, and took 10 to 14 minutes. free_port began at a place taken from the process id, 199 ports apart, and checked only whether a port was free at that moment, so two processes could hand out the same ports.

Change: make test runs pytest-xdist with 4 workers, a fixed number; a worker that runs out of tests takes some from another one (no fixture is shared between tests).

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN = $(VENV)/bin
+# The same on every machine. More workers slow down each other's daemons, whose
+# starts and bounds are in real time.
+WORKERS ?= 4
 
 .PHONY: demo test lint format lock
 
@@ -14,7 +17,7 @@
 	$(BIN)/python -m sapphirelift.demo
 
 test: $(VENV)/.installed
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --dist=worksteal
 
 lint: $(VENV)/.installed
 	$(BIN)/python -m ruff format --check .
--- a/sapphirelift/bench/fleet.py
+++ b/sapphirelift/bench/fleet.py
@@ -3,7 +3,7 @@
 Used by the tests and the bench. The product itself starts no processes.
 """
 
-import itertools
+import collections
 import json
 import os
 import pathlib
@@ -14,6 +14,7 @@
 import time
 import urllib.request
 from collections.abc import Callable
+from collections.abc import Iterator
 from typing import Any
 
 import msgspec
@@ -24,21 +25,76 @@
 START_TIMEOUT_S = 20.0
 _LOWEST_PORT = 10_000
 _PORT_COUNT = 22_000
-# Concurrent processes start at different ports, derived from their pid.
-_ports = (
-    _LOWEST_PORT + (os.getpid() * 199 + number) % _PORT_COUNT
-    for number in itertools.count()
-)
+# More than one test or run of the soak takes.
+BLOCK_PORTS = 200
+# Blocks a process keeps, so that ports return late.
+MAX_BLOCKS = 10
+
+
+class PortBlocks:
+    """Ports that no other process on the machine takes at the same time.
+
+    A process claims blocks of ports by listening on the first port of each,
+    so that the system gives a block to one process and frees it when that
+    process ends, however it ends.
+    """
+
+    def __init__(self) -> None:
+        self._claims: collections.deque[socket.socket] = collections.deque()
+        self._ports: Iterator[int] = iter(())
+        # Concurrent processes start at different blocks.
+        self._next_block = os.getpid()
+
+    @property
+    def held(self) -> int:
+        """Number of blocks that this process has for itself."""
+        return len(self._claims)
+
+    def take(self) -> int:
+        """Returns the next port.
+
+        Raises:
+            RuntimeError: Other processes have claimed all blocks.
+        """
+        port = next(self._ports, None)
+        if port is None:
+            first = self._claim()
+            self._ports = iter(range(first + 1, first + BLOCK_PORTS))
+            port = next(self._ports)
+        return port
+
+    def _claim(self) -> int:
+        """Returns the first port of a block that this process holds now."""
+        if len(self._claims) == MAX_BLOCKS:
+            self._claims.popleft().close()
+        count = _PORT_COUNT // BLOCK_PORTS
+        for _ in range(count):
+            first = _LOWEST_PORT + self._next_block % count * BLOCK_PORTS
+            self._next_block += 1
+            claim = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            try:
+                claim.bind(("127.0.0.1", first))
+                claim.listen()
+            except OSError:
+                claim.close()
+                continue
+            self._claims.append(claim)
+            return first
+        raise RuntimeError("all blocks of ports are taken")
+
+
+_blocks = PortBlocks()
 
 
 def free_port() -> int:
     """Returns a port that is free for both UDP and TCP.
 
     The port lies below the ephemeral range, so that no outgoing connection
-    can take it before the intended process binds it.
+    can take it before the intended process binds it, and in a block that
+    this process has for itself.
     """
     while True:
-        port = next(_ports)
+        port = _blocks.take()
         with (
             socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
