Let the servers of the packet daemon's tests report again and again

Cause: a backend server of these tests reported once, before the balancers had started. An agent takes its server for silent after 3 s without a report, and a balancer that took longer to start beside load never saw it ready: four tests ended so in a run with 4 workers (three at their setup, and test_odd_items with a flow that was reset).

Change: the stand-in repeats its report each second, as servers do, until its notice of leaving. What the tests assert and their limits are unchanged.

--- a/tests/test_packet_daemon.py
+++ b/tests/test_packet_daemon.py
@@ -5,6 +5,7 @@
 that exchange datagrams with the processes.
 """
 
+import contextlib
 import json
 import os
 import pathlib
@@ -44,8 +45,16 @@
     )
 
 
+REPORT_INTERVAL_S = 1.0
+
+
 class Backend:
-    """A backend server stand-in with a socket and a receiving thread."""
+    """A backend server stand-in with sockets and threads.
+
+    It receives, and from its first accepted report on it repeats its report
+    in each interval until it announces its end, as servers do. Otherwise a
+    daemon that starts slowly on a busy machine would find a silent server.
+    """
 
     def __init__(self, ip: str, ports: packet_fleet.Ports) -> None:
         self.ip = ip
@@ -58,6 +67,11 @@
         self._born_ms = time.time_ns() // 1_000_000
         self._is_running = True
         self._lock = threading.RLock()
+        # Held while a report is sent, so that reports arrive in order.
+        self._report_lock = threading.Lock()
+        self._state = "ready"
+        self._stops_reporting = threading.Event()
+        self._reporter = threading.Thread(target=self._repeat_report)
         self.server = flow_ends.BackendServer(
             random.Random(1),
             lambda data: self._socket.sendto(data, (ip, ports.outbound)),
@@ -86,28 +100,43 @@
                 self.server.receive(data)
 
     def report(self, *, state: str = "ready") -> None:
-        """Sends a report to the agent.
+        """Sends a report to the agent, and repeats it from then on.
 
         Raises:
             OSError: The agent does not answer.
         """
+        with self._report_lock:
+            self._state = state
+            self._send_report()
+        if self._reporter.ident is None:
+            self._reporter.start()
+
+    def _repeat_report(self) -> None:
+        while not self._stops_reporting.wait(REPORT_INTERVAL_S):
+            with self._report_lock, contextlib.suppress(OSError):
+                if not self._stops_reporting.is_set():
+                    self._send_report()
+
+    def _send_report(self) -> None:
         self._reports += 1
         body = packet_writers.report(
             ip=self.ip,
             port=self._ports.app,
             number=self._reports,
             born_ms=self._born_ms,
-            state=state,
+            state=self._state,
         )
         self._call("PUT", body)
 
     def announce_end(self, body: dict[str, Any] | None = None) -> None:
-        """Sends a notice of leaving to the agent.
+        """Sends a notice of leaving to the agent, after the last report.
 
         Raises:
             OSError: The agent does not answer.
         """
-        self._call("DELETE", body)
+        with self._report_lock:
+            self._stops_reporting.set()
+            self._call("DELETE", body)
 
     def _call(self, method: str, body: dict[str, Any] | None) -> None:
         request = urllib.request.Request(
@@ -118,7 +147,10 @@
         urllib.request.urlopen(request, timeout=2).close()
 
     def close(self) -> None:
-        """Stops the receiving thread and closes the socket."""
+        """Stops the threads and closes the sockets."""
+        self._stops_reporting.set()
+        if self._reporter.ident is not None:
+            self._reporter.join()
         with self._lock:
             if not self._is_running:
                 return
