Print why a run of the soak was cut short

Cause: a run that ends by an exception exits with 1 like one that broke a promise, and its standard error was dropped: the short soak of the tests failed with two empty lines (8 workers beside a load average of 36).

Change: standard error is printed when a run has printed nothing.

Not seen yet: the next such failure will show its cause.

--- a/sapphirelift/bench/soak_series.py
+++ b/sapphirelift/bench/soak_series.py
@@ -86,7 +86,9 @@
             check=False,
             timeout=template.duration_s + MAX_OVERTIME_S,
         )
-        text = played.stdout + (played.stderr if played.returncode > 1 else "")
+        # A run that an exception ends has printed nothing else.
+        is_cut = played.returncode > 1 or not played.stdout
+        text = played.stdout + (played.stderr if is_cut else "")
         return played.returncode, text.rstrip()
 
     with concurrent.futures.ThreadPoolExecutor(parallel) as pool:
