Let the processes of the tests use byte code on disk

Cause: where the environment forbids byte code on disk (PYTHONDONTWRITEBYTECODE, as on this machine), each of the hundreds of processes that the tests start compiles the whole package.

Change: make test clears the variable for its processes.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,9 @@
 demo: $(VENV)/.installed
 	$(BIN)/python -m sapphirelift.demo
 
+# The tests start hundreds of processes. Without its byte code on disk, each of
+# them compiles the package anew.
+test: export PYTHONDONTWRITEBYTECODE =
 test: $(VENV)/.installed
 	$(BIN)/python -m pytest -n $(WORKERS) --dist=worksteal
 
