Count the runs of a cold server from when its agent is known

Cause: the test gave the agent 6 s for 20 runs from the moment its process was started. Beside load the start took all of that: no run, KeyError.

Change: the 6 s begin when all balancers know the agent; the callers' load goes on meanwhile. The bounds on runs and overloads are unchanged.

--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -11,6 +11,7 @@
 import eventlet
 import pytest
 import xxhash
+from eventlet import tpool
 
 from sapphirelift import messages
 from sapphirelift import wire
@@ -320,6 +321,9 @@
         fleet.start_agent(
             "agent-cold", service=SERVICE, ramp_ms=8000, backend=cold
         )
+        # In a thread, so that the callers go on. The time for its 20 runs
+        # begins when the balancers know the agent.
+        tpool.execute(fleet.wait_ready, agents=2)
         eventlet.sleep(6.0)
         done.append(True)
         for task in tasks:
