Start the other service's server before the agent is killed

Cause: test_packets_never_reach_the_other_service needs packets of old flows at the address of a dead agent. Beside load the start of the new server and agent took longer than callers keep a silent flow, and none came: KeyError.

Change: the server starts before the kill, so that only the agent's start lies between. The assertions are unchanged.

--- a/tests/test_member_processes.py
+++ b/tests/test_member_processes.py
@@ -138,6 +138,9 @@
         caller = client.Caller(list(fleet.public.values()), seed=7)
         sessions = [caller.open(SERVICE) for _ in range(10)]
         assert {s.agent for s in sessions} == {"agent-a", "agent-b"}
+        # Only the agent's own start lies between, as callers give up a silent
+        # flow after some seconds and then send no packet that counts here.
+        fleet.start_backend("agent-c", service="jasen-kauppa")
         fleet.kill("agent-b")
         fleet.peer_ports["agent-c"] = fleet.peer_ports["agent-b"]
         fleet.start_agent("agent-c", service="jasen-kauppa")
