--- a/sapphirelift/bench/owner_search.py
+++ b/sapphirelift/bench/owner_search.py
@@ -89,9 +89,7 @@
             # The packet has been lost: restart at the first agent.
             route = self.configuration.find(received.flow)
             assert route is not None
-            remaining_agents = self._possible_owners(
-                received.flow, route, now_ms
-            )
+            remaining_agents = self._candidates.of(received.flow, route, now_ms)
         if remaining_agents:
             self.counters["visits"] += 1
             self._deliver(remaining_agents.pop(0), received)
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -18,6 +18,7 @@
 from sapphirelift.core.l4 import messages
 from sapphirelift.core.l4 import newer_replica
 from sapphirelift.core.l4 import opening as opening_module
+from sapphirelift.core.l4 import owner_candidates
 from sapphirelift.core.l4 import ownership
 from sapphirelift.core.l4 import packet
 from sapphirelift.core.l4 import placement
@@ -53,9 +54,6 @@
 UNPROVEN_CHECK_MS = 200
 # Names of agents in a log line.
 MAX_LOGGED_AGENTS = 4
-# Maximum number of agents asked about one flow without a resolver. If there are
-# more, a failed search does not prove that the flow has ended.
-MAX_ASKED_AGENTS = 256
 # Number of other balancers listed in an acknowledgement: to an agent that has
 # just started, and to others, which learn of missed balancers one by one.
 LISTED_TO_NEW_AGENT = 16
@@ -100,8 +98,6 @@
             configuration can be expected from it.
         store_era: Newest era of the store that it has heard of.
         watch: Agents from which the balancer hears often.
-        contact_ms: Time without messages after which an instance that has
-            announced a stop, or has never been heard, counts as lost.
     """
 
     def __init__(
@@ -124,7 +120,7 @@
             rng: Random number generator for choosing gossip targets.
             data_centre: Its data centre, whose agents are preferred; empty
                 for no preference.
-            contact_ms: See the attribute.
+            contact_ms: See the property.
             load: Decisions under load that the deployment asks for.
         """
         self.load_settings = load
@@ -156,13 +152,18 @@
             counters=self.counters,
             log=self._log,
         )
-        self.contact_ms = contact_ms
         # Peers that the store answers, by their own word, and when.
         self._peers_with_store: dict[messages.Address, int] = {}
         self._departed_agents: dict[messages.Address, agents.DepartedAgent] = {}
         self._unconfirmed_agents: dict[
             messages.Address, agents.UnconfirmedAgent
         ] = {}
+        self._candidates = owner_candidates.OwnerCandidates(
+            self.agents,
+            self._unconfirmed_agents,
+            self.watch,
+            contact_ms=contact_ms,
+        )
         self._started_ms = now_ms
         self._owners: collections.OrderedDict[
             packet.FlowKey, ownership.Owner
@@ -190,6 +191,15 @@
         decided, self._actions = self._actions, []
         return decided
 
+    @property
+    def contact_ms(self) -> int:
+        """Time without messages after which a stopping instance is lost."""
+        return self._candidates.contact_ms
+
+    @contact_ms.setter
+    def contact_ms(self, contact_ms: int) -> None:
+        self._candidates.contact_ms = contact_ms
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer can assign new flows to agents."""
@@ -659,70 +669,17 @@
             now_ms,
             self._lookups.begin(
                 received,
-                self._possible_owners(received.flow, route, now_ms),
+                self._candidates.of(received.flow, route, now_ms),
                 now_ms,
                 without=without,
                 knows_all_agents=self.has_directory
-                and known_agents <= MAX_ASKED_AGENTS,
+                and known_agents <= owner_candidates.MAX_ASKED_AGENTS,
                 can_resolve=len(self.agents) >= resolver.MIN_AGENTS,
                 belief=belief,
-                is_owner_stopping=self._is_any_owner_stopping(now_ms),
+                is_owner_stopping=self._candidates.is_any_stopping(now_ms),
             ),
         )
 
-    def _possible_owners(
-        self, flow: packet.FlowKey, route: routes.Route, now_ms: int
-    ) -> list[messages.Address]:
-        """Returns the agents that may own a flow of a route, likeliest first.
-
-        The order is that in which balancers of this data centre compare the
-        agents for a new flow, so that the owner is usually among the first.
-        Agents of other services are included, but come last: an earlier
-        configuration may have routed the flow to any service.
-        """
-        services = set(route.services)
-        local: list[agents.KnownAgent] = []
-        remote: list[agents.KnownAgent] = []
-        others: list[messages.Address] = []
-        for agent in self.agents:
-            if not agent.may_own(now_ms, contact_ms=self.contact_ms):
-                continue
-            if agent.heartbeat.service not in services:
-                others.append(agent.address)
-            elif self.watch.is_local(agent):
-                local.append(agent)
-            else:
-                remote.append(agent)
-        others += self._unconfirmed_owners(now_ms)
-        likely = [
-            agent.address
-            for known in (local, remote)
-            for agent in placement.in_hash_order(flow, known)
-        ]
-        return [*likely, *others][:MAX_ASKED_AGENTS]
-
-    def _unconfirmed_owners(self, now_ms: int) -> list[messages.Address]:
-        """Returns agents known only by their address that may own a flow."""
-        return [
-            address
-            for address, found in self._unconfirmed_agents.items()
-            if found.may_own(now_ms, contact_ms=self.contact_ms)
-        ]
-
-    def _silent_owners(self, now_ms: int) -> frozenset[messages.Address]:
-        """Returns the agents that may own flows and do not answer."""
-        return frozenset(
-            [
-                *(
-                    agent.address
-                    for agent in self.agents
-                    if agent.is_late(now_ms)
-                    and agent.may_own(now_ms, contact_ms=self.contact_ms)
-                ),
-                *self._unconfirmed_owners(now_ms),
-            ]
-        )
-
     def _search_unproven_again(self, now_ms: int) -> None:
         """Searches for flows of which silent agents were the last hope."""
         if (
@@ -731,7 +688,7 @@
         ):
             return
         self._unproven_checked_ms = now_ms
-        silent = self._silent_owners(now_ms)
+        silent = self._candidates.silent(now_ms)
         answering = frozenset(
             agent.address for agent in self.agents if not agent.is_late(now_ms)
         )
@@ -739,17 +696,6 @@
             self.counters["searches_repeated"] += 1
             self._look_up(received, now_ms)
 
-    def _is_any_owner_stopping(self, now_ms: int) -> bool:
-        """Returns whether a silent agent is being restarted by plan."""
-        return any(
-            agent.heartbeat.state == agents.LEAVING
-            and agent.may_own(now_ms, contact_ms=self.contact_ms)
-            for agent in self.agents
-        ) or any(
-            self._unconfirmed_agents[address].is_stopping
-            for address in self._unconfirmed_owners(now_ms)
-        )
-
     def _apply_lookup_steps(
         self, now_ms: int, steps: list[lookup.Step]
     ) -> None:
@@ -847,7 +793,7 @@
             for agent in self.agents
             if agent.may_own(now_ms, contact_ms=self.contact_ms)
         ]
-        known += self._unconfirmed_owners(now_ms)
+        known += self._candidates.unconfirmed(now_ms)
         self._apply_resolver_steps(
             now_ms,
             self._resolver.begin_round(
@@ -880,7 +826,7 @@
             )
             self._reset(found.packets[-1])
             return
-        silent = self._silent_owners(now_ms)
+        silent = self._candidates.silent(now_ms)
         if found.packets:
             self._unproven.add(found.packets[-1], silent, now_ms)
         self._log(
@@ -1552,7 +1498,7 @@
                     self.watch.invalidate()
             else:
                 others.append(agent.address)
-        for address in self._unconfirmed_owners(now_ms):
+        for address in self._candidates.unconfirmed(now_ms):
             # Flows without another owner wait for them.
             self._send_hello(address)
         others += [
