Mend what the reviews of the merged parts found

A refusal no longer resets a flow that its caller uses, or whose owner a search has found; a search without an outcome no longer resets a caller whose opening is under way; a second refusal, a copy of the opening packet and a stale acknowledgement no longer confuse two offers. Held requests stay held while a server that does not answer openings for a moment is ready; they count once in a heartbeat; work is told without the time for which requests were held. In a shortage the placement's order holds. What is kept of a service does not depend on the regions of the route that asked last. Hellos to agents known only by their address are bounded in a round. The openings' test sets the server's time where it is kept now. Left open: a copy of an opening packet that comes through another balancer and is refused resets a caller whose flow may just have opened (as before); an answer that is unusual for good at one server counts as failed; the first report of a new server forgets the requests at it.

--- a/sapphirelift/core/l4/agent.py
+++ b/sapphirelift/core/l4/agent.py
@@ -454,7 +454,11 @@
                 received, flow.request_sent_ms, slots=self._slots, now_ms=now_ms
             )
             self._on_response(flow, now_ms)
-        self._work.on_end(received, flow.request_sent_ms, now_ms)
+        self._work.on_end(
+            received,
+            None if flow.has_caller_left else flow.request_sent_ms,
+            now_ms,
+        )
         if received.is_fin or received.is_reset:
             self._requests.on_server_ended(flow, now_ms)
             self.flows.move(received.flow, flow, _Phase.ENDED)
@@ -679,7 +683,7 @@
         waits in the server's queue.
         """
         excess = self._requests.last_average / max(self._slots, 1)
-        return self._requests.response_ms / max(excess, 1.0)
+        return self._requests.server_ms / max(excess, 1.0)
 
     def _held_openings(self) -> list[admission.Held]:
         """Returns the held openings, oldest first."""
@@ -874,7 +878,8 @@
         """
         if (
             self.load_settings.queues_requests
-            and self.state(now_ms) == agents.READY
+            and not self._is_leaving
+            and self.backend.state(now_ms) == agents.READY
         ):
             return self._slots + requests.EXTRA_REQUESTS
         return requests.UNLIMITED
--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -75,6 +75,9 @@
 # every 500 ms, a change reaches 840 balancers in 5 rounds.
 GOSSIP_PEERS = 3
 GOSSIP_HELLOS = 16
+# Hellos in a round to agents known only by their address, 44 B each, after a
+# start or a loss of power: those that have had the fewest come first.
+GOSSIP_HELLOS_TO_UNCONFIRMED = 64
 SILENT_PEER_MS = 3000
 FORGET_PEER_MS = 120_000
 
@@ -537,6 +540,9 @@
     def _on_retransmitted_syn(
         self, flow: packet.FlowKey, opening: opening_module.Opening, now_ms: int
     ) -> None:
+        if opening.extra is not None and opening.extra.refusal is not None:
+            # The second agent has yet to answer.
+            return
         if opening.is_overdue(now_ms):
             self._try_next_candidate(flow, opening, now_ms)
         else:
@@ -816,6 +822,9 @@
         # only the value at its beginning counts.
         is_certain = found.silent == 0 and found.has_asked_all
         self.counters["flows_without_owner"] += 1
+        if found.flow in self._openings or found.flow in self._owners:
+            # It has been opened, or is about to be, since the search began.
+            return
         if is_certain and found.packets:
             self._log_reset(
                 found.flow,
@@ -985,6 +994,12 @@
         opening = self._openings.pop(refused.flow, None)
         if opening is None and not self._forget_refusing_owner(refused):
             return
+        if opening is not None and (
+            opening.is_used or refused.flow in self._owners
+        ):
+            # Later packets find the agent that has accepted the flow.
+            self.counters["refusals_after_use"] += 1
+            return
         self.counters[f"opens_refused_{refused.reason}"] += 1
         if opening is not None:
             self._shortages.on_refused(
@@ -1020,7 +1035,11 @@
         if opening is None:
             return False
         self.extra_openings.on_strained(opening, now_ms)
-        if extra is None or extra.is_overdue(now_ms):
+        if (
+            extra is None
+            or extra.agent == refused.agent
+            or extra.is_overdue(now_ms)
+        ):
             return False
         extra.refusal = refused
         return True
@@ -1498,8 +1517,12 @@
                     self.watch.invalidate()
             else:
                 others.append(agent.address)
-        for address in self._candidates.unconfirmed(now_ms):
-            # Flows without another owner wait for them.
+        # Flows without another owner wait for them.
+        waited_for = sorted(
+            self._candidates.unconfirmed(now_ms),
+            key=lambda address: self._unconfirmed_agents[address].hellos,
+        )
+        for address in waited_for[:GOSSIP_HELLOS_TO_UNCONFIRMED]:
             self._send_hello(address)
         others += [
             address
@@ -1557,7 +1580,7 @@
         self, flow: packet.FlowKey, opening: opening_module.Opening, now_ms: int
     ) -> None:
         extra = opening.extra
-        if extra is not None and flow in self._owners:
+        if flow in self._owners:
             # A search has found the agent that the caller uses.
             del self._openings[flow]
         elif opening.has_waiting_packets(now_ms):
--- a/sapphirelift/core/l4/opening.py
+++ b/sapphirelift/core/l4/opening.py
@@ -60,6 +60,8 @@
         packets_ms: When the first of them was received.
         unused: An agent that has accepted the flow, while the caller uses the
             acceptance of another one.
+        is_used: Whether the caller has acknowledged an acceptance. The word of
+            it may have been lost, and a refusal must not reset the flow then.
     """
 
     data: bytes
@@ -76,6 +78,7 @@
     packets: list[packet.Packet] = dataclasses.field(default_factory=list)
     packets_ms: int = 0
     unused: messages.Address | None = None
+    is_used: bool = False
 
     @property
     def candidate(self) -> messages.Address:
@@ -110,6 +113,7 @@
             Whether it has been kept: two agents may have accepted the flow,
             and the packet tells which one the caller uses.
         """
+        self.is_used = self.is_used or received.is_ack
         if self.extra is None or not received.is_ack:
             return False
         self.packets_ms = self.packets_ms if self.packets else now_ms
@@ -130,6 +134,10 @@
     def is_denied_by_caller(self, opened: messages.Opened) -> bool:
         """Returns whether the caller uses another acceptance than this one."""
         first_byte = (opened.initial_sequence + 1) & 0xFFFFFFFF
-        return bool(self.packets) and not any(
-            received.acknowledged == first_byte for received in self.packets
+        return (
+            self.extra is not None
+            and bool(self.packets)
+            and not any(
+                received.acknowledged == first_byte for received in self.packets
+            )
         )
--- a/sapphirelift/core/l4/placement.py
+++ b/sapphirelift/core/l4/placement.py
@@ -1,6 +1,7 @@
 """Selection of the agents that may open a new flow."""
 
 import collections
+import dataclasses
 import heapq
 from collections.abc import Callable
 from typing import NamedTuple
@@ -251,8 +252,19 @@
             self._forget_ms = now_ms + FORGET_MS
             self._times.keep(known.services())
             self._overflow.keep(known.services())
-        self._times.update(service, candidates, now_ms)
-        self._overflow.update(service, found, watched, now_ms)
+        # What is kept of a service must not depend on the route that asks.
+        serving, heard = found, watched
+        if route.regions:
+            serving = eligible(
+                known,
+                service,
+                route=dataclasses.replace(route, regions=frozenset()),
+                evacuated=evacuated,
+                now_ms=now_ms,
+            )
+            heard = [a for a in serving if watch.includes(a.address)]
+        self._times.update(service, heard or serving, now_ms)
+        self._overflow.update(service, serving, heard, now_ms)
         ranked = self._rank(flow, service, candidates, route.terms, now_ms)
         return Choice(ranked, found, len(candidates))
 
@@ -271,6 +283,8 @@
         """
         rendezvous_hash = _flow_hash(flow)
         centre = self._overflow.choose(service, flow)
+        if not any(a.heartbeat.data_centre == centre for a in candidates):
+            centre = self._data_centre
         second = self._data_centre
         if centre == second:
             second = self._overflow.neighbour(service, flow)
--- a/sapphirelift/core/l4/requests.py
+++ b/sapphirelift/core/l4/requests.py
@@ -42,6 +42,7 @@
     Attributes:
         active: Number of requests at the backend server.
         response_ms: Moving average of the time from a request to its answer.
+        server_ms: The same without the time for which requests were held.
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         """
         self.active = 0
         self.response_ms = 0.0
+        self.server_ms = 0.0
         self._counters = counters
         self._send = send
         self._on_unanswered = on_unanswered
@@ -138,12 +140,11 @@
             if place is held_requests.Place.COPY:
                 self._send(flow.caller_ack)
             return place is held_requests.Place.BEFORE
-        if not self._begins_with(flow, received):
-            return True
         if flow.is_given_up:
             self._counters["packets_given_up"] += 1
-            flow.caller_end = received.sequence
             return False
+        if not self._begins_with(flow, received):
+            return True
         self._update_average(now_ms)
         flow.request_ms = now_ms
         flow.request_key = key
@@ -252,6 +253,7 @@
         elif len(self._usual_ms) < MAX_ROUTES:
             self._usual_ms[route] = float(at_server_ms)
         self.response_ms += RESPONSE_SMOOTHING * (took_ms - self.response_ms)
+        self.server_ms += RESPONSE_SMOOTHING * (at_server_ms - self.server_ms)
         self.finish(flow, now_ms)
         return took_ms
 
@@ -337,13 +339,13 @@
 
     def _work_ms(self, key: packet.FlowKey) -> float:
         """Returns the usual time at the server; that of all if unknown."""
-        return self._usual_ms.get(_route_of(key), self.response_ms)
+        return self._usual_ms.get(_route_of(key), self.server_ms)
 
     def _update_average(self, now_ms: int) -> None:
         elapsed_ms = now_ms - self._average_updated_ms
         if elapsed_ms > 0:
             weight = min(elapsed_ms / ACTIVE_REQUESTS_AVERAGE_MS, 1.0)
-            self._average += weight * (self.unanswered - self._average)
+            self._average += weight * (self.active - self._average)
             self._average_updated_ms = now_ms
 
     def _expire_at(self, flow: flow_table.Flow, at_ms: int) -> None:
--- a/sapphirelift/core/l4/shortage.py
+++ b/sapphirelift/core/l4/shortage.py
@@ -220,6 +220,7 @@
         self._counters = counters
         self._log = log
         self._is_used = load.admits_by_priority
+        self._is_placed_by_time = load.places_by_expected_time
         self._by_service: dict[str, Shortage] = {}
 
     def refuses(
@@ -273,10 +274,20 @@
     def shorten(
         self, service: str, ranked: list[agents_module.KnownAgent]
     ) -> list[agents_module.KnownAgent]:
-        """Returns the agents to offer an opening to: fewer in a shortage."""
-        if not self._is_used or not self._of(service).is_on:
+        """Returns the agents to offer an opening to: fewer in a shortage.
+
+        By loads alone the least loaded would be one that fails quickly, or the
+        one of another data centre that is listed in case all local ones fail.
+        With placement by expected time the order is that already.
+        """
+        if not self._is_used or not ranked or not self._of(service).is_on:
             return ranked
-        return sorted(ranked, key=_waiting_per_slot)[:SHORT_CANDIDATES]
+        if self._is_placed_by_time:
+            return ranked[:SHORT_CANDIDATES]
+        centre = ranked[0].heartbeat.data_centre
+        near = [a for a in ranked if a.heartbeat.data_centre == centre]
+        away = [a for a in ranked if a.heartbeat.data_centre != centre]
+        return [*sorted(near, key=_waiting_per_slot), *away][:SHORT_CANDIDATES]
 
     def _of(self, service: str) -> Shortage:
         found = self._by_service.get(service)
--- a/tests/test_l4_admission_of_openings.py
+++ b/tests/test_l4_admission_of_openings.py
@@ -325,7 +325,7 @@
         core.on_report(report, NOW_MS)
         core._requests.active = 2
         core._requests._average = 2.0
-        core._requests.response_ms = 80.0
+        core._requests.server_ms = 80.0
         core.drain_actions()
         return core
 
