Let the soak play a service that is short of room, with uneven servers

Servers with one slot and 20, 100 or 40 ms of work; daemons take all decisions under load, 10% of extra openings among them.

--- a/sapphirelift/bench/commands.py
+++ b/sapphirelift/bench/commands.py
@@ -97,6 +97,7 @@
         balancers: int = 3,
         agents: int = 4,
         sessions: int = 12,
+        is_short: bool = False,
         logs: str = "",
     ) -> str:
         """Plays packet daemons under faults and checks the promises.
@@ -109,6 +110,8 @@
             balancers: Number of balancers.
             agents: Number of agents, over two data centres.
             sessions: Number of callers that keep their flows open.
+            is_short: Whether servers have one slot and uneven speeds, and all
+                decisions under load are on.
             logs: Directory for settings and logs; a temporary one if empty.
         """
         options = soak_module.Options(
@@ -117,6 +120,7 @@
             balancers=balancers,
             agents=agents,
             sessions=sessions,
+            is_short=is_short,
         )
         # The argument parser turns a single seed into a number, and a list of
         # them into a tuple.
--- a/sapphirelift/bench/soak.py
+++ b/sapphirelift/bench/soak.py
@@ -66,6 +66,14 @@
 MISROUTED_PACKETS = 3
 MISROUTED_S = 2.0
 TICK_S = 0.05
+# Work of a request at the servers of a short service, one after the other.
+SHORT_WORK_MS = (20, 100, 40)
+ALL_DECISIONS = {
+    "queues_requests": True,
+    "admits_by_priority": True,
+    "places_by_expected_time": True,
+    "extra_openings_percent": 10,
+}
 
 
 class Options(msgspec.Struct, forbid_unknown_fields=True):
@@ -75,6 +83,8 @@
         directory: Directory for settings and logs.
         agents: Number of agents, spread over two data centres.
         sessions: Number of callers that use one flow for many requests.
+        is_short: Whether servers have one slot and uneven speeds, and daemons
+            take all decisions under load.
     """
 
     directory: str
@@ -83,6 +93,7 @@
     balancers: int = 3
     agents: int = 4
     sessions: int = 12
+    is_short: bool = False
 
 
 class _Instance:
@@ -257,6 +268,7 @@
                 ports=self._ports,
                 rng=self._server_rng,
                 server_rng=self._rng,
+                capacity=self._capacity_of(agent),
             )
             for agent in self._agents
         }
@@ -310,6 +322,13 @@
         self._fleet.close()
         self._socket.close()
 
+    def _capacity_of(self, agent: _Instance) -> soak_backend.Capacity:
+        if not self._options.is_short:
+            return soak_backend.Capacity()
+        index = self._agents.index(agent)
+        work_ms = SHORT_WORK_MS[index % len(SHORT_WORK_MS)]
+        return soak_backend.Capacity(slots=1, max_running=1, work_ms=work_ms)
+
     # Daemons.
 
     def _start(self, instance: _Instance) -> None:
@@ -321,6 +340,8 @@
             platform_port=self._fleet.platform_port,
             data_centre=instance.data_centre,
         ) | {"name": instance.name}
+        if self._options.is_short:
+            settings["load"] = ALL_DECISIONS
         path = self._fleet.directory / f"{instance.name}.json"
         path.write_text(json.dumps(settings))
         instance.starts += 1
--- a/sapphirelift/bench/soak_backend.py
+++ b/sapphirelift/bench/soak_backend.py
@@ -12,6 +12,7 @@
 import urllib.request
 from collections.abc import Callable
 from typing import Any
+from typing import NamedTuple
 
 import eventlet
 
@@ -21,7 +22,6 @@
 from sapphirelift.standins import packet_writers
 
 REPORT_S = 0.5
-SLOTS = 8
 # How long a server serves on after its draining report, and after its notice.
 DRAIN_S = (0.5, 3.0)
 LINGER_S = (0.0, 1.5)
@@ -53,6 +53,23 @@
     return True
 
 
+class Capacity(NamedTuple):
+    """What a backend server can do.
+
+    Attributes:
+        slots: Number of slots that it reports.
+        max_running: Number of requests that it runs at once.
+        work_ms: Time that it works on a request.
+    """
+
+    slots: int = 8
+    max_running: int = 1000
+    work_ms: int = 20
+
+
+_AMPLE = Capacity()
+
+
 class SoakBackend:
     """A backend server stand-in that reports to its agent.
 
@@ -69,6 +86,7 @@
         ports: packet_fleet.Ports,
         rng: random.Random,
         server_rng: random.Random,
+        capacity: Capacity = _AMPLE,
     ) -> None:
         """Starts the server; it reports from ``run`` on.
 
@@ -78,6 +96,7 @@
             ports: Ports of all instances.
             rng: Source of all randomness but the server's.
             server_rng: Source of the server's own numbers.
+            capacity: What the server can do.
         """
         self.ip = ip
         self.is_away = False
@@ -85,6 +104,7 @@
         self._ports = ports
         self._rng = rng
         self._server_rng = server_rng
+        self._capacity = capacity
         self._starts = 0
         self._name = f"i-{ip}"
         self._start()
@@ -99,7 +119,11 @@
         # Checks of the port are accepted by the system.
         self._listener = socket.create_server((self.ip, self._ports.app))
         self.server = flow_ends.BackendServer(
-            self._server_rng, self._send, call_later=call_later
+            self._server_rng,
+            self._send,
+            work_ms=self._capacity.work_ms,
+            slots=self._capacity.max_running,
+            call_later=call_later,
         )
         self.is_away = False
 
@@ -133,7 +157,7 @@
             number=self._number,
             born_ms=self._born_ms,
             data_centre=self._data_centre,
-            slots=SLOTS,
+            slots=self._capacity.slots,
             state=self._state,
         )
         return report | changes
