Give only packet daemons a short first timeout at the store

Cause: operators' writes may not be repeated blindly, and a store that takes 0.5 s to answer left their outcome unknown. All calls of packet daemons may be repeated, so they keep it.

--- a/sapphirelift/_packet_node.py
+++ b/sapphirelift/_packet_node.py
@@ -83,6 +83,7 @@
         self.store = store_module.Store(
             f"http://{settings.platform}",
             name=settings.name,
+            first_read_timeout_s=store_module.FIRST_READ_TIMEOUT_S,
             on_skipped=self._on_item_skipped,
         )
         self.drops: dict[str, int] = {}
--- a/sapphirelift/platform/store.py
+++ b/sapphirelift/platform/store.py
@@ -24,9 +24,10 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 3.0
-# Timeout of the first attempt; each further one gets twice as long. A store
-# that is slow answers within 0.25 s. A call that reaches a silent store is
-# never answered, also when the store is back a moment later.
+# Timeout of the first attempt for clients whose calls may all be repeated; each
+# further one gets twice as long. A store that is slow answers within 0.25 s. A
+# call that reaches a silent store is never answered, also when the store is
+# back a moment later.
 FIRST_READ_TIMEOUT_S = 0.5
 # The platform answers a watch within its wait time. A connection that is
 # silent for this much longer is considered dead.
@@ -171,6 +172,7 @@
         *,
         name: str = "client",
         calls_per_s: float = CALLS_PER_S,
+        first_read_timeout_s: float = READ_TIMEOUT_S,
         credentials: credentials_module.PlatformCredentials | None = None,
         on_skipped: OnSkipped = lambda kind, reason: None,
     ) -> None:
@@ -180,6 +182,8 @@
             base_url: Address of the store.
             name: Name of the daemon, sent with each call.
             calls_per_s: Limit of the rate of calls.
+            first_read_timeout_s: Time until the store answers a first attempt;
+                doubled with each one that goes unanswered.
             credentials: How to prove the daemon's identity; None if the store
                 does not ask.
             on_skipped: Called with the kind of an item that could not be
@@ -201,7 +205,8 @@
         self.era = revisions.FIRST_ERA
         self.restores = 0
         self._has_era = False
-        self._read_timeout_s = FIRST_READ_TIMEOUT_S
+        self._first_read_timeout_s = first_read_timeout_s
+        self._read_timeout_s = first_read_timeout_s
         self._announced_era = 0
         self._watching: set[greenlet.greenlet] = set()
 
@@ -569,10 +574,9 @@
             raise self._failure(call, "no answer in time") from error
         finally:
             call_timeout.cancel()
-        if is_adaptive and clock.now_ms() - began_ms < (
-            FIRST_READ_TIMEOUT_S * 1000 / 2
-        ):
-            self._read_timeout_s = FIRST_READ_TIMEOUT_S
+        took_ms = clock.now_ms() - began_ms
+        if is_adaptive and took_ms < self._first_read_timeout_s * 1000 / 2:
+            self._read_timeout_s = self._first_read_timeout_s
         era = self._read_era(call, response.headers.get(ERA_HEADER))
         if response.status not in (200, 201, 404, 409, 410):
             raise self._failure(call, f"status {response.status}")
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -247,7 +247,11 @@
     # return, because their first call waits on a dead connection.
     def test_first_attempts_are_short(self) -> None:
         """Each further attempt gets twice the time."""
-        client = store.Store("http://10.0.0.1:1", calls_per_s=1000)
+        client = store.Store(
+            "http://10.0.0.1:1",
+            calls_per_s=1000,
+            first_read_timeout_s=store.FIRST_READ_TIMEOUT_S,
+        )
         pool = _PoolOfSilentStore(silent_calls=4)
         client._pool = pool  # noqa: SLF001
         for _ in range(4):
