--- a/sapphirelift/core/l4/held_requests.py
+++ b/sapphirelift/core/l4/held_requests.py
@@ -12,13 +12,13 @@
 from sapphirelift.core.l4 import terms as terms_module
 
 # Requests held at once: what a server with 4 slots and 20 ms of work runs
-# within the shortest time limit of a request, 1.2 s.
+# within the shortest timeout of a request, 1.2 s.
 MAX_REQUESTS = 256
 # A caller has at most 16 packets of 1,231 bytes under way, so that these are
 # the uploads of half of the requests. Most requests take one packet.
 MAX_PACKETS = 2048
 MAX_BYTES = 2_500_000
-# A request is held for the time limit of its route at most; if that is not
+# A request is held for the timeout of its route at most; if that is not
 # known, for half of the shortest one, so that it can still be answered.
 MAX_HOLD_MS = 600
 # After this long without a held request, the next one is logged.
@@ -179,7 +179,7 @@
         return self._sent(key, now_ms)
 
     def take_overdue(self, now_ms: int) -> list[Held]:
-        """Removes and returns those without a known time limit, if too old.
+        """Removes and returns those without a known timeout, if too old.
 
         Those whose callers have given up are dropped.
         """
--- a/sapphirelift/core/l4/request_queue.py
+++ b/sapphirelift/core/l4/request_queue.py
@@ -11,7 +11,7 @@
 _C = TypeVar("_C", bound=Hashable)
 
 # A priority from which nothing has gone for this long, although requests of it
-# wait, has one turn: half of the shortest time limit of a request (1.2 s), so
+# wait, has one turn: half of the shortest timeout of a request (1.2 s), so
 # that the one that goes is still in time.
 MAX_SILENCE_MS = 600
 # Callers of one priority whose share is remembered while others wait.
--- a/sapphirelift/core/l4/requests.py
+++ b/sapphirelift/core/l4/requests.py
@@ -19,7 +19,7 @@
 from sapphirelift.core.l4 import terms as terms_module
 
 # Time after which a request without an answer no longer counts as in progress
-# if the time limit of its route is not known.
+# if the timeout of its route is not known.
 MAX_REQUEST_MS = 2000
 # Smoothing factor of the exponential moving average of response times.
 RESPONSE_SMOOTHING = 0.1
@@ -215,7 +215,7 @@
     ) -> None:
         """Counts a request that is sent to the backend server.
 
-        It counts for the time limit of its route at most, after which its
+        It counts for the timeout of its route at most, after which its
         caller has given up: a lost answer takes no room from others.
         """
         self._update_average(now_ms)
