--- a/tests/test_operators_guide.py
+++ b/tests/test_operators_guide.py
@@ -153,6 +153,8 @@
         # total of calls, which are exported by kind.
         entries_without_metric = {"incarnation", "platform_calls", "limits"}
         for name in ("balancer-1", "agent-0"):
+            # A table without entries does not show what its entries are.
+            processes.wait_until(lambda name=name: fleet.dump(name)["members"])
             state = fleet.dump(name)
             for family in metrics.families(state):  # without samples too
                 assert re.fullmatch(r"sapphirelift_[a-z_]+", family.name)
