Find the watched candidates of an opening once

They were looked up a second time for an extra offer, for each opening and also with extra openings off.

--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -448,14 +448,11 @@
             busy=round(best.heartbeat.busy, 2),
             load_age_ms=now_ms - best.last_heard_ms,
             is_local=best.heartbeat.data_centre == self._data_centre,
-            choices=choice.compared_of,
+            choices=len(choice.candidates),
             configuration_revision=self._configuration_store_revision,
         )
         self._send_open(opening)
-        watched = [a for a in choice.found if self.watch.includes(a.address)]
-        self._consider_extra(
-            flow, opening, now_ms, known=watched or choice.found
-        )
+        self._consider_extra(flow, opening, now_ms, known=choice.candidates)
 
     def _is_settling(self, now_ms: int) -> bool:
         """Returns whether agents may live that count as silent here."""
--- a/sapphirelift/core/l4/placement.py
+++ b/sapphirelift/core/l4/placement.py
@@ -166,12 +166,13 @@
     Attributes:
         ranked: Those to which it is offered, best first.
         found: All that may take the flow.
-        compared_of: Number of agents among which the choice was made.
+        candidates: Those among which the choice was made: the watched ones, or
+            all if none is watched.
     """
 
     ranked: list[agents.KnownAgent]
     found: list[agents.KnownAgent]
-    compared_of: int
+    candidates: list[agents.KnownAgent]
 
 
 class _Estimate(NamedTuple):
@@ -247,7 +248,7 @@
         candidates = watched or found
         if not self._is_by_expected_time:
             ranked = rank(flow, candidates, data_centre=self._data_centre)
-            return Choice(ranked, found, len(candidates))
+            return Choice(ranked, found, candidates)
         if now_ms >= self._forget_ms:
             self._forget_ms = now_ms + FORGET_MS
             self._times.keep(known.services())
@@ -266,7 +267,7 @@
         self._times.update(service, heard or serving, now_ms)
         self._overflow.update(service, serving, heard, now_ms)
         ranked = self._rank(flow, service, candidates, route.terms, now_ms)
-        return Choice(ranked, found, len(candidates))
+        return Choice(ranked, found, candidates)
 
     def _rank(
         self,
