--- a/sapphirelift/core/l4/balancer.py
+++ b/sapphirelift/core/l4/balancer.py
@@ -791,16 +791,12 @@
         self._apply_resolver_steps(now_ms, self._resolver.tick(now_ms))
         if not self._resolver.is_round_due(now_ms):
             return
-        known = [
-            agent.address
-            for agent in self.agents
-            if agent.may_own(now_ms, contact_ms=self.contact_ms)
-        ]
-        known += self._candidates.unconfirmed(now_ms)
         self._apply_resolver_steps(
             now_ms,
             self._resolver.begin_round(
-                known, now_ms, knows_all_agents=self.has_directory
+                self._candidates.all(now_ms),
+                now_ms,
+                knows_all_agents=self.has_directory,
             ),
         )
 
--- a/sapphirelift/core/l4/owner_candidates.py
+++ b/sapphirelift/core/l4/owner_candidates.py
@@ -1,5 +1,6 @@
 """Agents that may own a flow whose owner a balancer does not know."""
 
+from collections.abc import Iterator
 from collections.abc import Mapping
 
 from sapphirelift.core.l4 import agents as agents_module
@@ -57,9 +58,7 @@
         local: list[agents_module.KnownAgent] = []
         remote: list[agents_module.KnownAgent] = []
         others: list[messages.Address] = []
-        for agent in self._known:
-            if not agent.may_own(now_ms, contact_ms=self.contact_ms):
-                continue
+        for agent in self._owning(now_ms):
             if agent.heartbeat.service not in services:
                 others.append(agent.address)
             elif self._watch.is_local(agent):
@@ -74,6 +73,16 @@
         ]
         return [*likely, *others][:MAX_ASKED_AGENTS]
 
+    def all(self, now_ms: int) -> list[messages.Address]:
+        """Returns all agents that may own flows."""
+        known = (agent.address for agent in self._owning(now_ms))
+        return [*known, *self.unconfirmed(now_ms)]
+
+    def _owning(self, now_ms: int) -> Iterator[agents_module.KnownAgent]:
+        for agent in self._known:
+            if agent.may_own(now_ms, contact_ms=self.contact_ms):
+                yield agent
+
     def unconfirmed(self, now_ms: int) -> list[messages.Address]:
         """Returns agents known only by their address that may own a flow."""
         return [
@@ -86,9 +95,8 @@
         """Returns the agents that may own flows and do not answer."""
         late = [
             agent.address
-            for agent in self._known
+            for agent in self._owning(now_ms)
             if agent.is_late(now_ms)
-            and agent.may_own(now_ms, contact_ms=self.contact_ms)
         ]
         return frozenset([*late, *self.unconfirmed(now_ms)])
 
@@ -96,8 +104,7 @@
         """Returns whether a silent agent is being restarted by plan."""
         return any(
             agent.heartbeat.state == agents_module.LEAVING
-            and agent.may_own(now_ms, contact_ms=self.contact_ms)
-            for agent in self._known
+            for agent in self._owning(now_ms)
         ) or any(
             self._unconfirmed[address].is_stopping
             for address in self.unconfirmed(now_ms)
