--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -49,6 +49,8 @@
 CALL_TIMEOUT_S = 1.0
 RESTART_S = 0.5
 START_TIMEOUT_S = 25.0
+# Time after which a case is given up.
+LIMIT_S = 105.0
 
 # Greatest distance of a valid reset from the client's last acknowledgement.
 MAX_RESET_DISTANCE = 76_800
@@ -802,9 +804,14 @@
         folder: Folder of the case.
         play: Plays it; returns whether the rule was kept.
     """
-    case = Case(folder)
     try:
-        is_kept = play(case)
+        case = Case(folder)
+    except Exception:
+        traceback.print_exc()
+        os._exit(NOT_RUN)
+    try:
+        with eventlet.Timeout(LIMIT_S, CaseError("it took too long")):
+            is_kept = play(case)
         ended = case.ended()
         if ended:
             case.record.write(f"ended by themselves: {ended}")
