Use only loopback addresses in cases 6 and 7

Cause: the route of both cases was at 198.18.0.1, inside the packets and the configuration; every address in a case has to be a loopback address.

--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -38,7 +38,7 @@
 from sapphirelift.standins import platform
 
 REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
-ROUTE_IP = "198.18.0.1"
+ROUTE_IP = "127.198.0.1"
 ROUTE_PORT = 443
 REGION = "jm-south"
 # Names and figures of the small deployments.
